Lay down modules, wire messages and the protocols' page

Cause: an empty repository; every later part needs the same contracts. Ruled out: one module for all, since stand-ins must never ship and Alloy brings its own slf4j binding. Change: parent POM with formatter and linter at validate, five modules, messages, resources, result codes, interfaces of the platform's services and of the pure decisions, docs/DESIGN.md. Conclusion: the parts can be built side by side against these contracts.

--- /dev/null
+++ b/bench/src/main/java/io/pollenreach/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins and the load and experiment tool. */
+package io.pollenreach.bench;
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and writing JSON and its kin. */
+package io.pollenreach.internal.json;
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/placement/WorkerView.java
@@ -0,0 +1,36 @@
+package io.pollenreach.internal.placement;
+
+import java.util.List;
+
+/**
+ * A worker as placement sees it.
+ *
+ * <p>Immutable.
+ *
+ * @param id the target id
+ * @param zone the availability zone
+ * @param rack the rack within the zone
+ * @param address where its agent listens, as {@code ip:port}
+ * @param accelerators how many it has
+ * @param usable whether it may take new parts: alive, not draining, not set aside
+ * @param recentFailures starts that failed lately
+ * @param holdings what is held
+ */
+public record WorkerView(
+        String id,
+        String zone,
+        String rack,
+        String address,
+        int accelerators,
+        boolean usable,
+        int recentFailures,
+        List<Holding> holdings) {
+    public WorkerView {
+        holdings = List.copyOf(holdings);
+    }
+
+    /** Returns the accelerators that nobody holds. */
+    public int free() {
+        return accelerators - holdings.stream().mapToInt(Holding::accelerators).sum();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about where jobs run. */
+package io.pollenreach.internal.placement;
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about which runner serves a request. */
+package io.pollenreach.internal.routing;
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/wire/Message.java
@@ -0,0 +1,61 @@
+package io.pollenreach.internal.wire;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/**
+ * Whatever passes between the processes of the system.
+ *
+ * <p>The type's simple name travels in the field {@code t}. Receivers ignore unknown fields, so that a newer process can
+ * talk to an older one. Implementations are immutable.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = Heartbeat.class, name = "Heartbeat"),
+    @JsonSubTypes.Type(value = HeartbeatReply.class, name = "HeartbeatReply"),
+    @JsonSubTypes.Type(value = Reserve.class, name = "Reserve"),
+    @JsonSubTypes.Type(value = Reserved.class, name = "Reserved"),
+    @JsonSubTypes.Type(value = Unreserve.class, name = "Unreserve"),
+    @JsonSubTypes.Type(value = Prepare.class, name = "Prepare"),
+    @JsonSubTypes.Type(value = Release.class, name = "Release"),
+    @JsonSubTypes.Type(value = Stop.class, name = "Stop"),
+    @JsonSubTypes.Type(value = PartAnswer.class, name = "PartAnswer"),
+    @JsonSubTypes.Type(value = GangBeat.class, name = "GangBeat"),
+    @JsonSubTypes.Type(value = GangBeatReply.class, name = "GangBeatReply"),
+    @JsonSubTypes.Type(value = Execute.class, name = "Execute"),
+    @JsonSubTypes.Type(value = Inquire.class, name = "Inquire"),
+    @JsonSubTypes.Type(value = Executed.class, name = "Executed"),
+    @JsonSubTypes.Type(value = PeerBeat.class, name = "PeerBeat"),
+    @JsonSubTypes.Type(value = PeerBeatReply.class, name = "PeerBeatReply"),
+    @JsonSubTypes.Type(value = Bury.class, name = "Bury"),
+    @JsonSubTypes.Type(value = Buried.class, name = "Buried"),
+    @JsonSubTypes.Type(value = PullState.class, name = "PullState"),
+    @JsonSubTypes.Type(value = PeerState.class, name = "PeerState"),
+    @JsonSubTypes.Type(value = Hint.class, name = "Hint"),
+    @JsonSubTypes.Type(value = Ack.class, name = "Ack"),
+    @JsonSubTypes.Type(value = Failure.class, name = "Failure")
+})
+public sealed interface Message
+        permits Heartbeat,
+                HeartbeatReply,
+                Reserve,
+                Reserved,
+                Unreserve,
+                Prepare,
+                Release,
+                Stop,
+                PartAnswer,
+                GangBeat,
+                GangBeatReply,
+                Execute,
+                Inquire,
+                Executed,
+                PeerBeat,
+                PeerBeatReply,
+                Bury,
+                Buried,
+                PullState,
+                PeerState,
+                Hint,
+                Ack,
+                Failure {}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/wire/PartAnswer.java
@@ -0,0 +1,10 @@
+package io.pollenreach.internal.wire;
+
+/**
+ * Tells where a part stands after the message that it answers.
+ *
+ * <p>Direction: agent to entry. Immutable.
+ *
+ * @param part the part
+ */
+public record PartAnswer(PartReport part) implements Message {}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/wire/PeerBeat.java
@@ -0,0 +1,34 @@
+package io.pollenreach.internal.wire;
+
+import java.util.List;
+
+/**
+ * Tells a peer that the sender lives, and what changed among its targets.
+ *
+ * <p>Direction: entry to entry. Immutable.
+ *
+ * @param from the sender's address, as {@code ip:port}
+ * @param zone the sender's availability zone
+ * @param incarnation grows with each start of the sender
+ * @param draining whether the sender is shutting down
+ * @param configVersion the configuration version in force at the sender
+ * @param targets targets homed at the sender that changed
+ * @param gone ids of targets that left the sender
+ * @param peers addresses of the entries that the sender knows
+ */
+public record PeerBeat(
+        String from,
+        String zone,
+        long incarnation,
+        boolean draining,
+        long configVersion,
+        List<TargetInfo> targets,
+        List<String> gone,
+        List<String> peers)
+        implements Message {
+    public PeerBeat {
+        targets = targets == null ? List.of() : List.copyOf(targets);
+        gone = gone == null ? List.of() : List.copyOf(gone);
+        peers = peers == null ? List.of() : List.copyOf(peers);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/wire/Stop.java
@@ -0,0 +1,12 @@
+package io.pollenreach.internal.wire;
+
+/**
+ * Stops a part and answers once it has surely stopped; also fences all attempts up to this one.
+ *
+ * <p>Direction: entry to agent. Immutable.
+ *
+ * @param id the attempt
+ * @param rank the part's rank
+ * @param graceMs milliseconds for a checkpoint before the part is killed
+ */
+public record Stop(AttemptId id, int rank, long graceMs) implements Message {}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/wire/package-info.java
@@ -0,0 +1,2 @@
+/** The messages between the processes of the system. */
+package io.pollenreach.internal.wire;
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpReply.java
@@ -0,0 +1,13 @@
+package io.pollenreach.daemon.internal.http;
+
+/**
+ * The whole answer to an HTTP call.
+ *
+ * <p>Immutable by convention: nobody changes the body.
+ *
+ * @param status the HTTP status
+ * @param contentType the media type; empty when none was sent
+ * @param body the whole body
+ * @param requestId the value of the header {@code X-Request-Id}; empty when none was sent
+ */
+public record HttpReply(int status, String contentType, byte[] body, String requestId) {}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP calls and servers over Ratpack. */
+package io.pollenreach.daemon.internal.http;
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the platform's services. */
+package io.pollenreach.daemon.internal.platform;
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/rpc/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between the processes of the system. */
+package io.pollenreach.daemon.internal.rpc;
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemons and the command line. */
+package io.pollenreach.daemon;
