--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the programs. */
+package io.pollenreach.daemon.internal.settings;
