Add the entry's blackboard, membership and job controllers

Cause: jobs must be placed, supervised and settled by whichever entry lives. Ruled out: a lease row for one scheduler, since an owner's death would hold urgent work longer than 1.2 s.

--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Avoidance.java
@@ -0,0 +1,43 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.pollenreach.Clock;
+import io.pollenreach.ResultCode;
+
+/**
+ * Workers that placement passes over for a moment, since a step of a start failed there.
+ *
+ * <p>Safe for use by many threads; its lock is a leaf.
+ */
+final class Avoidance {
+    /** How long a worker that did not answer is passed over, in milliseconds. */
+    static final long SILENT_MS = 2_000;
+    /** How long a worker is passed over whose accelerators were not free after all, in milliseconds. */
+    static final long BUSY_MS = 200;
+
+    private final Clock clock;
+    private final Map<String, Long> untilMs = new HashMap<>();
+
+    Avoidance(Clock clock) {
+        this.clock = clock;
+    }
+
+    synchronized void avoid(String worker, ResultCode code) {
+        boolean silent = code == ResultCode.PEER_TIMEOUT || code == ResultCode.PEER_UNREACHABLE;
+        untilMs.merge(worker, clock.nowMs() + (silent ? SILENT_MS : BUSY_MS), Math::max);
+    }
+
+    synchronized boolean avoided(String worker) {
+        Long until = untilMs.get(worker);
+        if (until == null) {
+            return false;
+        }
+        if (until <= clock.nowMs()) {
+            untilMs.remove(worker);
+            return false;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Board.java
@@ -0,0 +1,62 @@
+package io.pollenreach.daemon.internal.entry;
+
+import io.pollenreach.Clock;
+import io.pollenreach.internal.claims.RequestTable;
+import io.pollenreach.internal.membership.EntryView;
+import io.pollenreach.internal.membership.TargetTable;
+
+/**
+ * The blackboard of an entry: the tables that its controllers read and write.
+ *
+ * <p>Every table is safe for use by many threads and guards itself. Lock order: a thread holds the lock of at most one
+ * table at a time, and calls no controller, peer or service while it holds one.
+ */
+final class Board {
+    private final ConfigTable config = new ConfigTable();
+    private final JobTable jobs = new JobTable();
+    private final PartTable parts = new PartTable();
+    private final TargetTable targets = new TargetTable();
+    private final AgentVersions agentVersions = new AgentVersions();
+    private final EntryView entries;
+    private final RequestTable requests;
+    private final long startedMs;
+
+    Board(EntryView entries, Clock clock) {
+        this.entries = entries;
+        this.requests = new RequestTable(clock);
+        this.startedMs = clock.nowMs();
+    }
+
+    ConfigTable config() {
+        return config;
+    }
+
+    JobTable jobs() {
+        return jobs;
+    }
+
+    PartTable parts() {
+        return parts;
+    }
+
+    TargetTable targets() {
+        return targets;
+    }
+
+    AgentVersions agentVersions() {
+        return agentVersions;
+    }
+
+    EntryView entries() {
+        return entries;
+    }
+
+    RequestTable requests() {
+        return requests;
+    }
+
+    /** Returns the monotonic time at which this process started. */
+    long startedMs() {
+        return startedMs;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ClusterViews.java
@@ -0,0 +1,101 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.pollenreach.Clock;
+import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
+import io.pollenreach.internal.jobs.JobRecord;
+import io.pollenreach.internal.placement.ClusterView;
+import io.pollenreach.internal.placement.Decision.Place;
+import io.pollenreach.internal.placement.Holding;
+import io.pollenreach.internal.placement.PlacedJob;
+import io.pollenreach.internal.placement.WorkerView;
+import io.pollenreach.internal.wire.AttemptId;
+import io.pollenreach.internal.wire.Part;
+import io.pollenreach.internal.wire.TargetInfo;
+import io.pollenreach.internal.wire.TargetKind;
+
+/**
+ * Takes snapshots of the blackboard for placement.
+ *
+ * <p>Safe for use by many threads; it keeps no state.
+ */
+final class ClusterViews {
+    private final Board board;
+    private final Avoidance avoidance;
+    private final Clock clock;
+
+    ClusterViews(Board board, Avoidance avoidance, Clock clock) {
+        this.board = board;
+        this.avoidance = avoidance;
+        this.clock = clock;
+    }
+
+    /** Takes a snapshot in which the starts under way hold their accelerators. */
+    ClusterView snapshot(Map<String, Place> starting) {
+        ConfigSnapshot config = board.config().get();
+        Map<String, List<Holding>> holdings = new HashMap<>();
+        Map<String, PlacedJob> placed = new HashMap<>();
+        long wall = clock.wallMs();
+        for (JobRow row : board.jobs().list(r -> r.record().state().placed())) {
+            addPlaced(row.record(), wall, holdings, placed);
+        }
+        starting.forEach((key, place) -> addStarting(key, place, holdings, placed));
+        List<WorkerView> workers = new ArrayList<>();
+        Set<String> draining = config.draining();
+        for (TargetInfo t : board.targets().live(clock.nowMs())) {
+            if (t.kind() == TargetKind.WORKER) {
+                workers.add(worker(t, draining, holdings.getOrDefault(t.id(), List.of())));
+            }
+        }
+        return new ClusterView(workers, config.workspaces(), placed);
+    }
+
+    private WorkerView worker(TargetInfo t, Set<String> draining, List<Holding> holdings) {
+        boolean usable = !t.draining() && !draining.contains(t.id()) && !avoidance.avoided(t.id());
+        return new WorkerView(
+                t.id(),
+                t.zone(),
+                t.rack(),
+                t.address(),
+                t.accelerators(),
+                usable,
+                t.load().recentFailures(),
+                holdings);
+    }
+
+    private static void addPlaced(
+            JobRecord job, long wall, Map<String, List<Holding>> holdings, Map<String, PlacedJob> placed) {
+        long runningMs = job.startedAtMs() == 0 ? 0 : Math.max(0, wall - job.startedAtMs());
+        placed.put(job.spec().key(), new PlacedJob(job.spec(), job.borrowed(), runningMs));
+        for (Part p : job.parts()) {
+            Holding h = new Holding(
+                    job.attemptId(),
+                    job.spec().workspace(),
+                    p.accelerators(),
+                    job.borrowed(),
+                    job.spec().restartable(),
+                    runningMs);
+            holdings.computeIfAbsent(p.worker(), w -> new ArrayList<>()).add(h);
+        }
+    }
+
+    private void addStarting(
+            String key, Place place, Map<String, List<Holding>> holdings, Map<String, PlacedJob> placed) {
+        JobRow row = board.jobs().get(key).orElse(null);
+        if (row == null || row.record().state().placed() || row.record().state().terminal()) {
+            return;
+        }
+        placed.put(key, new PlacedJob(row.record().spec(), place.borrowed(), 0));
+        AttemptId id = new AttemptId(key, row.record().attempt() + 1, "");
+        for (Part p : place.parts()) {
+            // Not borrowed: a start under way can't be reclaimed, only its committed attempt can.
+            Holding h = new Holding(id, row.record().spec().workspace(), p.accelerators(), false, false, 0);
+            holdings.computeIfAbsent(p.worker(), w -> new ArrayList<>()).add(h);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigTable.java
@@ -0,0 +1,30 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.pollenreach.daemon.internal.platform.RowList;
+
+/**
+ * The configuration in force at this entry.
+ *
+ * <p>Invariant: the version never decreases while the process lives. Safe for use by many threads; it takes no lock.
+ */
+final class ConfigTable {
+    private final AtomicReference<ConfigSnapshot> current = new AtomicReference<>(ConfigSnapshot.EMPTY);
+
+    ConfigSnapshot get() {
+        return current.get();
+    }
+
+    /** Takes over rows read from the table service since a version that was in force here; true when it changed. */
+    boolean apply(RowList list) {
+        ConfigSnapshot before = current.getAndUpdate(s -> s.apply(list));
+        return list.revision() > before.version();
+    }
+
+    /** Takes over a peer's snapshot when it is newer; true when it changed. */
+    boolean adopt(ConfigSnapshot other) {
+        ConfigSnapshot before = current.getAndUpdate(s -> other.version() > s.version() ? other : s);
+        return other.version() > before.version();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobStore.java
@@ -0,0 +1,126 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
+import io.pollenreach.daemon.internal.platform.Row;
+import io.pollenreach.daemon.internal.platform.RowList;
+import io.pollenreach.daemon.internal.platform.Table;
+import io.pollenreach.daemon.internal.platform.Write;
+import io.pollenreach.internal.jobs.JobRecord;
+import io.pollenreach.internal.json.Json;
+
+/**
+ * Reads and writes job rows, and keeps the blackboard's job table in step.
+ *
+ * <p>Invariant: every change of a row is a compare-and-set on its version, and a write whose answer was lost is resolved
+ * by reading the row back. Safe for use by many threads; it holds no lock.
+ */
+final class JobStore {
+    private final Table table;
+    private final JobTable jobs;
+    private final Clock clock;
+
+    JobStore(Table table, JobTable jobs, Clock clock) {
+        this.table = table;
+        this.jobs = jobs;
+        this.clock = clock;
+    }
+
+    /** Creates a row; fails with {@code CONFLICT} when there is one already with another content. */
+    CompletableFuture<JobRow> create(JobRecord record) {
+        return write(record.spec().key(), 0, record);
+    }
+
+    /** Replaces a row's content; fails with {@code CONFLICT} when it has another version by now. */
+    CompletableFuture<JobRow> update(JobRow row, UnaryOperator<JobRecord> change) {
+        JobRecord next;
+        try {
+            next = change.apply(row.record());
+        } catch (IllegalStateException e) {
+            return CompletableFuture.failedFuture(
+                    new PollenreachException(ResultCode.CONFLICT, null, e.getMessage(), e));
+        }
+        return write(row.key(), row.version(), next);
+    }
+
+    /** Reads a row from the table service. */
+    CompletableFuture<Optional<JobRow>> read(String key) {
+        return table.get(JobTable.TABLE, key).thenApply(r -> r.map(this::learn));
+    }
+
+    /** Learns of all rows that changed since the last poll. */
+    CompletableFuture<Void> poll() {
+        return table.list(JobTable.TABLE, "", jobs.revision()).thenAccept(this::learnAll);
+    }
+
+    private CompletableFuture<JobRow> write(String key, long expected, JobRecord next) {
+        JsonNode value = Json.lenient().valueToTree(next);
+        CompletableFuture<Long> written = table.put(new Write(JobTable.TABLE, key, expected, value));
+        return written.handle((version, t) -> {
+                    if (t == null) {
+                        return CompletableFuture.completedFuture(learned(key, version, next));
+                    }
+                    return resolve(key, next, PollenreachException.of(t));
+                })
+                .thenCompose(f -> f);
+    }
+
+    private CompletableFuture<JobRow> resolve(String key, JobRecord next, PollenreachException failure) {
+        boolean refused = failure.code() == ResultCode.CONFLICT;
+        if (!refused && failure.code() != ResultCode.WRITE_UNKNOWN) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        // The content names the attempt's nonce, so finding it means that this very write took effect.
+        return read(key).handle((found, t) -> {
+            if (t != null) {
+                throw refused ? failure : unresolved(failure);
+            }
+            return found.filter(r -> r.record().equals(next)).orElseThrow(() -> conflict(failure));
+        });
+    }
+
+    private static PollenreachException unresolved(PollenreachException failure) {
+        return new PollenreachException(ResultCode.WRITE_UNKNOWN, null, failure.getMessage(), failure);
+    }
+
+    private static PollenreachException conflict(PollenreachException failure) {
+        return new PollenreachException(ResultCode.CONFLICT, null, failure.getMessage(), failure);
+    }
+
+    private JobRow learned(String key, long version, JobRecord record) {
+        JobRow row = new JobRow(key, version, record, clock.nowMs());
+        jobs.offer(row);
+        return row;
+    }
+
+    private void learnAll(RowList list) {
+        for (Row r : list.rows()) {
+            if (r.deleted()) {
+                jobs.remove(r.key(), r.version());
+            } else {
+                learn(r);
+            }
+        }
+        jobs.revision(list.revision());
+    }
+
+    private JobRow learn(Row r) {
+        return learned(r.key(), r.version(), parse(r));
+    }
+
+    private static JobRecord parse(Row r) {
+        try {
+            return Json.lenient().treeToValue(r.value(), JobRecord.class);
+        } catch (JsonProcessingException e) {
+            throw new PollenreachException(ResultCode.MALFORMED, null, "row " + r.key() + ": " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
@@ -0,0 +1,137 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.pollenreach.Clock;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.rpc.Rpc;
+import io.pollenreach.internal.membership.EntryInfo;
+import io.pollenreach.internal.membership.TargetChanges;
+import io.pollenreach.internal.wire.PeerBeat;
+import io.pollenreach.internal.wire.PeerBeatReply;
+import io.pollenreach.internal.wire.TargetInfo;
+import io.pollenreach.internal.wire.WorkerParts;
+
+/**
+ * Sends and receives the heartbeats between entries.
+ *
+ * <p>Invariant: a peer that lives has been sent every change of the targets and parts homed here, since the position of
+ * a peer moves on only when it has answered, and starts again when the peer does. Safe for use by many threads.
+ */
+final class Membership {
+    static final long PEER_BEAT_MS = 250;
+    private static final long PEER_TIMEOUT_MS = 500;
+
+    private static final Events EVENTS = Events.of(Membership.class);
+
+    private final Board board;
+    private final Rpc rpc;
+    private final Clock clock;
+    private final EntryInfo self;
+    private final Runnable changed;
+    private final Map<String, Position> positions = new ConcurrentHashMap<>();
+    private volatile boolean draining;
+
+    private record Position(long incarnation, long targets, long parts) {}
+
+    /** Creates the controller; {@code changed} runs after a beat that told something new about targets or parts. */
+    Membership(Board board, Rpc rpc, Clock clock, EntryInfo self, Runnable changed) {
+        this.board = board;
+        this.rpc = rpc;
+        this.clock = clock;
+        this.self = self;
+        this.changed = changed;
+    }
+
+    /** Sends a heartbeat to every known entry. */
+    void beat() {
+        for (String address : board.entries().contacts(clock.nowMs())) {
+            beat(address);
+        }
+    }
+
+    private void beat(String address) {
+        Position from = positions.getOrDefault(address, new Position(0, 0, 0));
+        TargetChanges targets = board.targets().changesSince(from.targets());
+        long partsUpTo = board.parts().changes();
+        PeerBeat beat = message(targets, from);
+        rpc.call(address, beat, PeerBeatReply.class, PEER_TIMEOUT_MS).whenComplete((reply, t) -> {
+            if (t != null) {
+                return;
+            }
+            long incarnation = reply.mine().incarnation();
+            boolean same = from.incarnation() == incarnation;
+            positions.put(
+                    address,
+                    same ? new Position(incarnation, targets.upTo(), partsUpTo) : new Position(incarnation, 0, 0));
+            heard(reply.mine());
+        });
+    }
+
+    private PeerBeat message(TargetChanges targets, Position from) {
+        return new PeerBeat(
+                self.address(),
+                self.zone(),
+                self.incarnation(),
+                draining,
+                board.config().get().version(),
+                board.agentVersions().lowestAgent(id -> board.targets().usable(id, clock.nowMs())),
+                targets.targets(),
+                homedParts(from.parts()),
+                targets.gone(),
+                peerAddresses());
+    }
+
+    private List<WorkerParts> homedParts(long since) {
+        long now = clock.nowMs();
+        return board.parts().changedSince(since).stream()
+                .filter(p -> board.entries().homeOf(p.worker(), now).equals(self.address()))
+                .toList();
+    }
+
+    private List<String> peerAddresses() {
+        return board.entries().live(clock.nowMs()).stream()
+                .map(EntryInfo::address)
+                .toList();
+    }
+
+    /** Handles a peer's heartbeat and answers with this entry's own, without a digest. */
+    PeerBeatReply handle(PeerBeat beat) {
+        heard(beat);
+        return new PeerBeatReply(
+                message(new TargetChanges(0, List.of(), List.of()), new Position(0, 0, Long.MAX_VALUE)));
+    }
+
+    private void heard(PeerBeat beat) {
+        long now = clock.nowMs();
+        boolean joined = board.entries().heard(beat.from(), beat.zone(), beat.incarnation(), beat.draining(), now);
+        if (joined) {
+            positions.remove(beat.from());
+            EVENTS.info("entry-joined", "entry", beat.from(), "zone", beat.zone(), "incarnation", beat.incarnation());
+        }
+        board.entries().learn(beat.peers(), now);
+        board.agentVersions().peer(beat.from(), Math.min(beat.configVersion(), beat.agentsConfigVersion()));
+        boolean news = joined;
+        for (TargetInfo t : beat.targets()) {
+            news |= board.targets().relayed(t, now);
+        }
+        for (String id : beat.gone()) {
+            news |= board.targets().gone(id, false);
+        }
+        for (WorkerParts p : beat.parts()) {
+            news |= board.parts().offer(p);
+        }
+        if (news) {
+            changed.run();
+        }
+    }
+
+    /** Tells the peers from now on that this entry is shutting down. */
+    void drain() {
+        draining = true;
+        board.entries().drain();
+        beat();
+    }
+}
