Add clients of the platform and stand-ins of platform and runner

Cause: the daemons need a table service, an object store, workers' runtimes and runners to work against, and the clients that reach them. Ruled out: HTTP status alone for doubtful writes; an answer that is lost, late or unreadable is WRITE_UNKNOWN, and only a refused connection, 429 and 503 are PLATFORM_UNAVAILABLE.

--- /dev/null
+++ b/bench/src/main/java/io/pollenreach/bench/Main.java
@@ -0,0 +1,23 @@
+package io.pollenreach.bench;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.help.Help;
+
+/**
+ * Runs the stand-ins from the command line.
+ *
+ * <p>Stateless.
+ */
+@com.github.rvesse.airline.annotations.Cli(
+        name = "bench",
+        description = "Stand-ins of the platform and of runners",
+        defaultCommand = Help.class,
+        commands = {PlatformCommand.class, RunnerCommand.class, Help.class})
+public final class Main {
+    private Main() {}
+
+    /** Parses the arguments and runs the command. */
+    public static void main(String[] args) {
+        new Cli<Runnable>(Main.class).parse(args).run();
+    }
+}
