--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/platform/Delays.java
@@ -0,0 +1,17 @@
+package io.pollenreach.daemon.internal.platform;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Runs actions later. Implementations are safe for use by many threads. */
+@FunctionalInterface
+public interface Delays {
+    /** Runs an action after a delay in milliseconds. */
+    void after(long delayMs, Runnable action);
+
+    /** Returns delays by the timers of this process. */
+    static Delays system() {
+        return (delayMs, action) -> CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS)
+                .execute(action);
+    }
+}
