Add the decisions of placement and routing

GuaranteedPlacer places within guarantees first and may stop borrowers; others borrow free room.

A job within its guarantee goes before all borrowers, whatever their urgency: the other order would let an urgent borrower start and be stopped in the same round.

--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/placement/GangFitter.java
@@ -0,0 +1,184 @@
+package io.pollenreach.internal.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.pollenreach.Adjacency;
+import io.pollenreach.Shape;
+import io.pollenreach.internal.wire.AttemptId;
+
+/**
+ * Finds the places where a gang fits whole.
+ *
+ * <p>A gang is placed greedily inside one group of workers; closer groups than the shape asks for are tried as well.
+ * Confined to one round, so not safe for use by many threads.
+ */
+final class GangFitter {
+    private final List<Map<String, List<WorkerState>>> levels = new ArrayList<>();
+    private final Victims victims;
+    private final boolean bestFit;
+
+    GangFitter(List<WorkerState> workers, Victims victims, boolean bestFit) {
+        this.victims = victims;
+        this.bestFit = bestFit;
+        for (Adjacency a : Adjacency.values()) {
+            Map<String, List<WorkerState>> groups = new LinkedHashMap<>();
+            for (WorkerState w : workers) {
+                String key = a.group(w.view().zone(), w.view().rack());
+                groups.computeIfAbsent(key, k -> new ArrayList<>()).add(w);
+            }
+            levels.add(groups);
+        }
+    }
+
+    /** Returns the places in free room, the best first. */
+    List<Candidate> inFreeRoom(String job, Shape shape) {
+        return search(shape, (group, level) -> fitFree(job, shape, group, level));
+    }
+
+    /** Returns the places that need borrowers to stop, least lost work first. */
+    List<Candidate> withReclaim(String job, Shape shape, Set<AttemptId> forced) {
+        return search(shape, (group, level) -> fitReclaiming(job, shape, group, level, forced));
+    }
+
+    /** Keeps workers for a job that waits: the group with most free room, and in it no more workers than needed. */
+    void reserve(String job, Shape shape) {
+        levels.get(shape.adjacency().ordinal()).values().stream()
+                .filter(g -> capacity(g, job, shape) >= shape.parts())
+                .max(Comparator.comparingInt(g -> g.stream()
+                        .filter(w -> w.openTo(job))
+                        .mapToInt(WorkerState::free)
+                        .sum()))
+                .ifPresent(g -> reserveIn(g, job, shape));
+    }
+
+    private static void reserveIn(List<WorkerState> group, String job, Shape shape) {
+        List<WorkerState> order = new ArrayList<>(group);
+        order.sort(Comparator.comparingInt(WorkerState::free).reversed());
+        int missing = shape.parts();
+        for (WorkerState w : order) {
+            if (missing > 0 && w.openTo(job)) {
+                w.reserve(job);
+                missing -= w.view().accelerators() / shape.acceleratorsPerPart();
+            }
+        }
+    }
+
+    private static int capacity(List<WorkerState> group, String job, Shape shape) {
+        return group.stream()
+                .filter(w -> w.openTo(job))
+                .mapToInt(w -> w.view().accelerators() / shape.acceleratorsPerPart())
+                .sum();
+    }
+
+    private List<Candidate> search(Shape shape, Search search) {
+        List<Candidate> found = new ArrayList<>();
+        int first = bestFit ? 0 : shape.adjacency().ordinal();
+        for (int level = first; level <= shape.adjacency().ordinal(); level++) {
+            for (List<WorkerState> group : levels.get(level).values()) {
+                search.fit(group, level).ifPresent(found::add);
+            }
+        }
+        if (bestFit) {
+            found.sort(Candidate.BEST_FIT);
+        }
+        return found;
+    }
+
+    private Optional<Candidate> fitFree(String job, Shape shape, List<WorkerState> group, int level) {
+        int per = shape.acceleratorsPerPart();
+        List<WorkerState> able = new ArrayList<>();
+        int free = 0;
+        for (WorkerState w : group) {
+            if (w.openTo(job)) {
+                free += w.free();
+                if (w.free() >= per) {
+                    able.add(w);
+                }
+            }
+        }
+        if (free < shape.accelerators()) {
+            return Optional.empty();
+        }
+        if (bestFit) {
+            able.sort(Comparator.comparingInt(WorkerState::free));
+        }
+        Map<WorkerState, Integer> counts = new LinkedHashMap<>();
+        int missing = shape.parts();
+        for (WorkerState w : able) {
+            int n = Math.min(missing, w.free() / per);
+            if (n > 0) {
+                counts.put(w, n);
+                missing -= n;
+            }
+        }
+        if (missing > 0) {
+            return Optional.empty();
+        }
+        return Optional.of(candidate(shape, counts, Set.of(), 0, level, free));
+    }
+
+    private Optional<Candidate> fitReclaiming(
+            String job, Shape shape, List<WorkerState> group, int level, Set<AttemptId> forced) {
+        Set<AttemptId> chosen = new LinkedHashSet<>(forced);
+        Map<WorkerState, Integer> counts = new LinkedHashMap<>();
+        double lost = forced.stream().mapToDouble(victims::cost).sum();
+        for (int i = 0; i < shape.parts(); i++) {
+            Step best = null;
+            for (WorkerState w : group) {
+                Step step = w.openTo(job) ? step(w, shape, counts.getOrDefault(w, 0), chosen) : null;
+                if (step != null && (best == null || Step.CHEAPEST.compare(step, best) < 0)) {
+                    best = step;
+                }
+            }
+            if (best == null) {
+                return Optional.empty();
+            }
+            counts.merge(best.worker, 1, Integer::sum);
+            chosen.addAll(best.stop);
+            lost += best.cost;
+        }
+        int free = group.stream().mapToInt(WorkerState::free).sum();
+        return Optional.of(candidate(shape, counts, chosen, lost, level, free));
+    }
+
+    /** Returns the cheapest way to put one more part on a worker, or null if there is none. */
+    private Step step(WorkerState w, Shape shape, int already, Set<AttemptId> chosen) {
+        int room = w.freeWithout(chosen) - already * shape.acceleratorsPerPart();
+        int missing = shape.acceleratorsPerPart() - room;
+        if (missing <= 0) {
+            return new Step(w, List.of(), 0, -missing);
+        }
+        return victims.choose(w, chosen, missing)
+                .map(ids ->
+                        new Step(w, ids, ids.stream().mapToDouble(victims::cost).sum(), 0))
+                .orElse(null);
+    }
+
+    private static Candidate candidate(
+            Shape shape, Map<WorkerState, Integer> counts, Set<AttemptId> stop, double lost, int level, int free) {
+        int broken = 0;
+        int waste = 0;
+        for (Map.Entry<WorkerState, Integer> e : counts.entrySet()) {
+            broken += e.getKey().whole() ? 1 : 0;
+            waste += e.getKey().freeWithout(stop) - e.getValue() * shape.acceleratorsPerPart();
+        }
+        return new Candidate(counts, Set.copyOf(stop), lost, level, broken, waste, free - shape.accelerators());
+    }
+
+    private interface Search {
+        Optional<Candidate> fit(List<WorkerState> group, int level);
+    }
+
+    /** One more part on a worker: who stops for it, what that loses, and what stays free. */
+    private record Step(WorkerState worker, List<AttemptId> stop, double cost, int spare) {
+        static final Comparator<Step> CHEAPEST =
+                Comparator.comparingDouble(Step::cost).thenComparingInt(Step::spare);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
@@ -0,0 +1,87 @@
+package io.pollenreach.internal.placement;
+
+import java.util.List;
+
+/**
+ * Places jobs so that guarantees hold, free room is shared fairly and large gangs still find adjacent accelerators.
+ *
+ * <p>Jobs within an unused guaranteed shape of their workspace go first and may stop borrowers. All others borrow free
+ * room up to the workspace's limit. {@link io.pollenreach.Urgency#BATCH} work always borrows. A guaranteed shape covers
+ * one job at a time. A job whose shape no set of known workers could hold is refused with
+ * {@link io.pollenreach.ResultCode#NEVER_RUNNABLE}; as workers may be unknown for a while, the caller decides how long
+ * to disbelieve that.
+ *
+ * <p>Immutable, so safe for use by many threads.
+ *
+ * <pre>{@code
+ * Placer placer = GuaranteedPlacer.builder().reserveAfterMs(60_000).build();
+ * List<Decision> decisions = placer.decide(view, queue, seed);
+ * }</pre>
+ */
+public final class GuaranteedPlacer implements Placer {
+    private final PlacementOptions options;
+
+    private GuaranteedPlacer(PlacementOptions options) {
+        this.options = options;
+    }
+
+    /** Returns a builder with the defaults. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    @Override
+    public List<Decision> decide(ClusterView view, List<WaitingJob> queue, long seed) {
+        return new PlacementRound(view, options, seed).decide(queue);
+    }
+
+    /** Collects the options of a placer. Not safe for use by many threads. */
+    public static final class Builder {
+        private static final int SET_ASIDE_FAILURES = 3;
+        private static final long RESERVE_AFTER_MS = 60_000;
+
+        private boolean bestFit = true;
+        private boolean fairShare = true;
+        private boolean leastLostWork = true;
+        private int setAsideFailures = SET_ASIDE_FAILURES;
+        private long reserveAfterMs = RESERVE_AFTER_MS;
+
+        private Builder() {}
+
+        /** Sets whether free room is chosen so that whole racks and workers stay free. */
+        public Builder bestFit(boolean bestFit) {
+            this.bestFit = bestFit;
+            return this;
+        }
+
+        /** Sets whether the workspace that uses least of its share goes first. */
+        public Builder fairShare(boolean fairShare) {
+            this.fairShare = fairShare;
+            return this;
+        }
+
+        /** Sets whether the borrowers that lose least work are stopped first. */
+        public Builder leastLostWork(boolean leastLostWork) {
+            this.leastLostWork = leastLostWork;
+            return this;
+        }
+
+        /** Sets from how many recent failures a worker gets no new parts; 0 for never. */
+        public Builder setAsideFailures(int failures) {
+            this.setAsideFailures = failures;
+            return this;
+        }
+
+        /** Sets how long a job waits before room is kept for it, in milliseconds; 0 for never. */
+        public Builder reserveAfterMs(long ms) {
+            this.reserveAfterMs = ms;
+            return this;
+        }
+
+        /** Creates the placer. */
+        public GuaranteedPlacer build() {
+            return new GuaranteedPlacer(
+                    new PlacementOptions(bestFit, fairShare, leastLostWork, setAsideFailures, reserveAfterMs));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
@@ -0,0 +1,201 @@
+package io.pollenreach.internal.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.pollenreach.Shape;
+import io.pollenreach.internal.wire.AttemptId;
+
+/**
+ * One round of decisions over one snapshot.
+ *
+ * <p>Invariants: no worker is promised twice, a gang is placed whole or not at all, only borrowers become victims, and
+ * what victims leave is promised only to jobs that name them. Confined to one call, so not safe for use by many threads.
+ */
+final class PlacementRound {
+    /** How many places are tried until one leaves the unused guarantees room. */
+    private static final int MAX_PACKING_TRIES = 4;
+
+    private final ClusterView view;
+    private final PlacementOptions options;
+    private final List<WorkerState> workers = new ArrayList<>();
+    private final GuaranteeLedger ledger;
+    private final Victims victims;
+    private final GangFitter fitter;
+    private final List<Decision> decisions = new ArrayList<>();
+    private boolean reserved;
+
+    PlacementRound(ClusterView view, PlacementOptions options, long seed) {
+        this.view = view;
+        this.options = options;
+        this.ledger = new GuaranteeLedger(view);
+        this.victims = new Victims(view.workers(), ledger.outside(), options.leastLostWork());
+        Set<String> aside = SetAside.of(view.workers(), options.setAsideFailures());
+        for (WorkerView w : view.workers()) {
+            WorkerState s = new WorkerState(w, w.usable() && !aside.contains(w.id()));
+            s.addFirm(firm(w));
+            workers.add(s);
+        }
+        workers.sort(Comparator.comparingLong((WorkerState w) -> mix(w.view().id(), seed))
+                .thenComparing(w -> w.view().id()));
+        this.fitter = new GangFitter(workers, victims, options.bestFit());
+    }
+
+    private int firm(WorkerView w) {
+        return w.holdings().stream()
+                .filter(h -> !victims.contains(h.id()))
+                .mapToInt(Holding::accelerators)
+                .sum();
+    }
+
+    private static long mix(String id, long seed) {
+        long h = (id.hashCode() ^ seed) * 0x9E3779B97F4A7C15L;
+        return h ^ (h >>> 32);
+    }
+
+    List<Decision> decide(List<WaitingJob> queue) {
+        List<WaitingJob> runnable = queue.stream().filter(j -> !excluded(j)).collect(Collectors.toList());
+        List<WaitingJob> others = new ArrayList<>();
+        JobOrder first = order(runnable);
+        for (Optional<WaitingJob> j = first.poll(); j.isPresent(); j = first.poll()) {
+            Optional<Shape> shape = guarantee(j.get());
+            if (shape.isPresent()) {
+                placeWithin(j.get(), shape.get());
+            } else {
+                others.add(j.get());
+            }
+        }
+        JobOrder second = order(others);
+        for (Optional<WaitingJob> j = second.poll(); j.isPresent(); j = second.poll()) {
+            borrow(j.get());
+        }
+        return decisions;
+    }
+
+    private JobOrder order(List<WaitingJob> jobs) {
+        return new JobOrder(jobs, view.workspaces(), ledger, options.fairShare());
+    }
+
+    private Optional<Shape> guarantee(WaitingJob j) {
+        return j.spec().urgency().reclaims()
+                ? ledger.smallestFit(j.spec().workspace(), j.spec().shape())
+                : Optional.empty();
+    }
+
+    private boolean excluded(WaitingJob j) {
+        Optional<Decision> decision = Feasibility.exclude(view, j);
+        decision.ifPresent(decisions::add);
+        return decision.isPresent();
+    }
+
+    private void pause(WaitingJob j, String reason) {
+        decisions.add(new Decision.Wait(j.spec().key(), reason));
+    }
+
+    private void placeWithin(WaitingJob j, Shape guarantee) {
+        String key = j.spec().key();
+        Shape shape = j.spec().shape();
+        Set<AttemptId> forced = ownBorrowersOverLimit(j);
+        List<Candidate> found = forced.isEmpty() ? fitter.inFreeRoom(key, shape) : List.of();
+        Optional<Candidate> chosen = keepingGuarantees(j, guarantee, found);
+        if (chosen.isEmpty()) {
+            List<Candidate> reclaiming = fitter.withReclaim(key, shape, forced);
+            chosen = keepingGuarantees(j, guarantee, reclaiming)
+                    .or(() -> found.stream().findFirst())
+                    .or(() -> reclaiming.stream().findFirst());
+        }
+        if (chosen.isEmpty()) {
+            pause(
+                    j,
+                    "guaranteed " + Feasibility.text(guarantee) + " but no group of usable workers holds "
+                            + Feasibility.text(shape));
+            return;
+        }
+        ledger.take(j.spec().workspace(), guarantee);
+        place(j, chosen.get(), false, "within guarantee " + Feasibility.text(guarantee));
+    }
+
+    /** Returns own borrowers that must stop so that the workspace stays within its limit. */
+    private Set<AttemptId> ownBorrowersOverLimit(WaitingJob j) {
+        String workspace = j.spec().workspace();
+        int max = view.workspaces().get(workspace).maxAccelerators();
+        int over = ledger.used(workspace) + j.spec().shape().accelerators() - max;
+        Set<AttemptId> forced = new LinkedHashSet<>();
+        for (AttemptId id : victims.ofWorkspace(workspace)) {
+            if (over <= 0) {
+                break;
+            }
+            forced.add(id);
+            over -= victims.accelerators(id);
+        }
+        return forced;
+    }
+
+    private Optional<Candidate> keepingGuarantees(WaitingJob j, Shape guarantee, List<Candidate> found) {
+        List<Shape> rest = ledger.unusedBut(j.spec().workspace(), guarantee);
+        return found.stream()
+                .limit(MAX_PACKING_TRIES)
+                .filter(c -> leavesRoom(c, j.spec().shape(), rest))
+                .findFirst();
+    }
+
+    private boolean leavesRoom(Candidate c, Shape shape, List<Shape> rest) {
+        ShapePacking packing = new ShapePacking();
+        for (WorkerState w : workers) {
+            int taken = c.counts().getOrDefault(w, 0) * shape.acceleratorsPerPart();
+            if (w.openTo("")) {
+                packing.add(w.view().zone(), w.view().rack(), w.view().accelerators() - w.firm() - taken);
+            }
+        }
+        return packing.pack(rest).isEmpty();
+    }
+
+    private void borrow(WaitingJob j) {
+        Shape shape = j.spec().shape();
+        String workspace = j.spec().workspace();
+        int max = view.workspaces().get(workspace).maxAccelerators();
+        if (ledger.used(workspace) + shape.accelerators() > max) {
+            pause(j, "workspace uses " + ledger.used(workspace) + " of " + max);
+            return;
+        }
+        Optional<Candidate> chosen =
+                fitter.inFreeRoom(j.spec().key(), shape).stream().findFirst();
+        if (chosen.isPresent()) {
+            place(j, chosen.get(), true, "borrowed");
+            return;
+        }
+        boolean keep = !reserved && options.reserveAfterMs() > 0 && j.waitedMs() >= options.reserveAfterMs();
+        if (keep) {
+            reserved = true;
+            fitter.reserve(j.spec().key(), shape);
+        }
+        pause(j, "no group has room for " + Feasibility.text(shape) + (keep ? "; room is kept" : ""));
+    }
+
+    private void place(WaitingJob j, Candidate c, boolean borrowed, String reason) {
+        Shape shape = j.spec().shape();
+        for (AttemptId id : c.victims()) {
+            if (victims.stop(id)) {
+                ledger.use(victims.workspace(id), -victims.accelerators(id));
+            }
+        }
+        c.counts().forEach((w, n) -> {
+            int accelerators = n * shape.acceleratorsPerPart();
+            w.take(accelerators, c.victims());
+            if (!borrowed) {
+                w.addFirm(accelerators);
+            }
+        });
+        ledger.use(j.spec().workspace(), shape.accelerators());
+        List<AttemptId> stopped = c.victims().stream()
+                .sorted(Comparator.comparing(AttemptId::job))
+                .collect(Collectors.toList());
+        String why = reason + (stopped.isEmpty() ? " in free room" : " stopping " + stopped.size());
+        decisions.add(new Decision.Place(j.spec().key(), c.parts(shape), stopped, borrowed, why));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/routing/LoadRouter.java
@@ -0,0 +1,140 @@
+package io.pollenreach.internal.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Chooses the runner with the least expected time to an answer among a few drawn at random.
+ *
+ * <p>The expected time is the wait for a slot, the service time, the way between zones and a penalty for recent
+ * failures. Drawing only a few keeps entries with equally old reports from sending everything to the same runner.
+ * Runners without a free slot are passed over, so that requests wait where shares and order can still act on them.
+ *
+ * <p>Immutable, so safe for use by many threads.
+ */
+public final class LoadRouter implements Router {
+    private final int choices;
+    private final double zoneDistanceMs;
+    private final int setAsideFailures;
+    private final double slotsFactor;
+
+    private LoadRouter(Builder b) {
+        this.choices = b.choices;
+        this.zoneDistanceMs = b.zoneDistanceMs;
+        this.setAsideFailures = b.setAsideFailures;
+        this.slotsFactor = b.slotsFactor;
+    }
+
+    /** Returns a builder with the defaults. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    @Override
+    public Route route(String zone, List<RunnerView> runners, Set<String> tried, long seed) {
+        List<RunnerView> able = new ArrayList<>();
+        List<RunnerView> failing = new ArrayList<>();
+        int full = 0;
+        int unusable = 0;
+        for (RunnerView r : runners) {
+            if (!r.usable()) {
+                unusable++;
+            } else if (tried.contains(r.id())) {
+                continue;
+            } else if (load(r) >= r.slots() * slotsFactor) {
+                full++;
+            } else {
+                (failing(r) ? failing : able).add(r);
+            }
+        }
+        String rejected = " full=" + full + " failing=" + failing.size() + " tried=" + tried.size() + " unusable="
+                + unusable + " of=" + runners.size();
+        // With nobody else left a failing runner is better than none, as its failures may be the requests' own.
+        List<RunnerView> from = able.isEmpty() && full == 0 ? failing : able;
+        if (from.isEmpty()) {
+            return new Route(Optional.empty(), "no room;" + rejected);
+        }
+        RunnerView best = best(zone, from, new Random(seed));
+        String reason = String.format(Locale.ROOT, "expected %.1f ms;", expectedMs(zone, best));
+        return new Route(Optional.of(best), reason + rejected);
+    }
+
+    private RunnerView best(String zone, List<RunnerView> able, Random random) {
+        RunnerView best = null;
+        int draws = Math.min(choices, able.size());
+        for (int i = 0; i < draws; i++) {
+            int j = i + random.nextInt(able.size() - i);
+            RunnerView r = able.set(j, able.get(i));
+            if (best == null || expectedMs(zone, r) < expectedMs(zone, best)) {
+                best = r;
+            }
+        }
+        return best;
+    }
+
+    private boolean failing(RunnerView r) {
+        return setAsideFailures > 0 && r.recentFailures() >= setAsideFailures;
+    }
+
+    /** The report counts what this entry had sent before it; newer ones are known only here. */
+    private static int load(RunnerView r) {
+        return Math.max(r.inUse() + r.queued(), r.sentSince());
+    }
+
+    private double expectedMs(String zone, RunnerView r) {
+        int slots = Math.max(1, r.slots());
+        double busy = (double) load(r) / slots;
+        double wait = Math.max(0, load(r) + 1 - slots) * r.meanServiceMs() / slots;
+        double way = zone.equals(r.zone()) ? 0 : 2 * zoneDistanceMs;
+        double failures = r.recentFailures() * r.meanServiceMs();
+        // Among runners with free slots the less busy one is preferred, by up to one zone distance.
+        return wait + r.meanServiceMs() + way + failures + busy * zoneDistanceMs;
+    }
+
+    /** Collects the options of a router. Not safe for use by many threads. */
+    public static final class Builder {
+        private static final int CHOICES = 3;
+        private static final double ZONE_DISTANCE_MS = 5;
+        private static final int SET_ASIDE_FAILURES = 5;
+
+        private int choices = CHOICES;
+        private double zoneDistanceMs = ZONE_DISTANCE_MS;
+        private int setAsideFailures = SET_ASIDE_FAILURES;
+        private double slotsFactor = 1;
+
+        private Builder() {}
+
+        /** Sets how many runners are drawn and compared, at least 1. */
+        public Builder choices(int choices) {
+            this.choices = choices;
+            return this;
+        }
+
+        /** Sets how long a message takes between two zones one way, in milliseconds. */
+        public Builder zoneDistanceMs(double ms) {
+            this.zoneDistanceMs = ms;
+            return this;
+        }
+
+        /** Sets from how many recent failures a runner is avoided; 0 for never. */
+        public Builder setAsideFailures(int failures) {
+            this.setAsideFailures = failures;
+            return this;
+        }
+
+        /** Sets up to how many requests for each slot a runner is taken to have room. */
+        public Builder slotsFactor(double factor) {
+            this.slotsFactor = factor;
+            return this;
+        }
+
+        /** Creates the router. */
+        public LoadRouter build() {
+            return new LoadRouter(this);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/pollenreach/internal/routing/LoadRouterTest.java
@@ -0,0 +1,53 @@
+package io.pollenreach.internal.routing;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LoadRouterTest {
+    private final Router router = LoadRouter.builder().choices(10).build();
+
+    @Test
+    void leastExpectedWaitWins() {
+        List<RunnerView> runners = List.of(runner("a", "z1", 6, 0), runner("b", "z1", 1, 0), runner("c", "z2", 0, 0));
+        assertThat(router.route("z1", runners, Set.of(), 1).runner())
+                .hasValueSatisfying(r -> assertThat(r.id()).isEqualTo("b"));
+    }
+
+    @Test
+    void triedAndFailingRunnersAreAvoided() {
+        List<RunnerView> runners = List.of(runner("a", "z1", 0, 9), runner("b", "z1", 0, 0), runner("c", "z1", 3, 0));
+        assertThat(router.route("z1", runners, Set.of("b"), 1).runner())
+                .hasValueSatisfying(r -> assertThat(r.id()).isEqualTo("c"));
+    }
+
+    @Test
+    void nobodyIsChosenWhenAllAreFull() {
+        Route route = router.route("z1", List.of(runner("a", "z1", 8, 0), runner("b", "z1", 9, 0)), Set.of(), 1);
+        assertThat(route.runner()).isEmpty();
+        assertThat(route.reason()).contains("full=2");
+    }
+
+    @Test
+    void requestsInFlightCountBeforeTheyAreReported() {
+        RunnerView sent = new RunnerView("a", "z1", "127.0.0.1:1", 8, 0, 0, 8, 10, 0, true);
+        assertThat(router.route("z1", List.of(sent), Set.of(), 1).runner()).isEmpty();
+    }
+
+    @Test
+    void roundRobinTakesTurns() {
+        List<RunnerView> runners = List.of(runner("a", "z", 0, 0), runner("b", "z", 8, 0));
+        Router turns = new RoundRobinRouter();
+        assertThat(turns.route("z", runners, Set.of(), 0).runner().orElseThrow().id())
+                .isEqualTo("a");
+        assertThat(turns.route("z", runners, Set.of(), 1).runner().orElseThrow().id())
+                .isEqualTo("b");
+    }
+
+    private static RunnerView runner(String id, String zone, int inUse, int failures) {
+        return new RunnerView(id, zone, "127.0.0.1:1", 8, inUse, 0, 0, 10, failures, true);
+    }
+}
