--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Answer.java
@@ -0,0 +1,20 @@
+package io.pollenreach.daemon.internal.entry;
+
+import io.pollenreach.internal.wire.Executed;
+
+/**
+ * A runner's whole answer to a request.
+ *
+ * <p>Immutable by convention: nobody changes the body.
+ *
+ * @param requestId the request that it answers
+ * @param status the runner's HTTP status
+ * @param contentType the media type
+ * @param body the whole body
+ * @param runner the target that answered
+ */
+record Answer(String requestId, int status, String contentType, byte[] body, String runner) {
+    static Answer of(Executed e, String runner) {
+        return new Answer(e.requestId(), e.status(), e.contentType(), e.body(), runner);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Burial.java
@@ -0,0 +1,71 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.rpc.Rpc;
+import io.pollenreach.internal.membership.EntryInfo;
+import io.pollenreach.internal.wire.Buried;
+import io.pollenreach.internal.wire.Bury;
+
+/**
+ * Refuses requests so that "not run" is true of every copy.
+ *
+ * <p>Invariant: {@link ResultCode#NOT_RUN} is said only after this entry and every live peer hold a tombstone for the
+ * request, and no entry that might have started it was lost within the caller's longest deadline. Otherwise the refusal
+ * is {@link ResultCode#NOT_ADMITTED}. Safe for use by many threads.
+ */
+final class Burial {
+    private static final long BURY_TIMEOUT_MS = 400;
+
+    private final Board board;
+    private final Rpc rpc;
+    private final Clock clock;
+
+    Burial(Board board, Rpc rpc, Clock clock) {
+        this.board = board;
+        this.rpc = rpc;
+        this.clock = clock;
+    }
+
+    /** Refuses a request that this entry has not sent anywhere; the future always fails with the code to answer. */
+    <T> CompletableFuture<T> refuse(CallerRequest request, String why) {
+        return refuse(request, board.requests().bury(request.key()), why);
+    }
+
+    /** Refuses a request that this entry has started, and of which surely no runner saw a byte. */
+    <T> CompletableFuture<T> retract(CallerRequest request, String why) {
+        return refuse(request, board.requests().retract(request.key()), why);
+    }
+
+    private <T> CompletableFuture<T> refuse(CallerRequest request, boolean buriedHere, String why) {
+        if (!buriedHere) {
+            return failed(ResultCode.NOT_ADMITTED, why);
+        }
+        long now = clock.nowMs();
+        boolean lostLately = now - board.entries().steadySinceMs(now) < RequestController.MAX_DEADLINE_MS;
+        boolean everLost = board.entries().steadySinceMs(now) != Long.MIN_VALUE;
+        List<CompletableFuture<Boolean>> peers = new ArrayList<>();
+        for (EntryInfo peer : board.entries().peers(now)) {
+            peers.add(bury(peer.address(), request));
+        }
+        return CompletableFuture.allOf(peers.toArray(CompletableFuture[]::new)).thenCompose(v -> {
+            boolean everywhere = peers.stream().allMatch(CompletableFuture::join);
+            boolean certain = everywhere && !(everLost && lostLately);
+            return failed(certain ? ResultCode.NOT_RUN : ResultCode.NOT_ADMITTED, why);
+        });
+    }
+
+    private CompletableFuture<Boolean> bury(String address, CallerRequest request) {
+        Bury message = new Bury(request.id(), request.workspace());
+        return rpc.call(address, message, Buried.class, BURY_TIMEOUT_MS).handle((b, t) -> t == null && b.neverStarts());
+    }
+
+    private static <T> CompletableFuture<T> failed(ResultCode code, String why) {
+        return CompletableFuture.failedFuture(new PollenreachException(code, why));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/IdempotentSender.java
@@ -0,0 +1,93 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.rpc.Rpc;
+import io.pollenreach.internal.routing.RetryBudget;
+import io.pollenreach.internal.routing.RunnerView;
+import io.pollenreach.internal.wire.Execute;
+import io.pollenreach.internal.wire.Executed;
+import io.pollenreach.internal.wire.Outcome;
+
+/**
+ * Sends requests that may run more than once.
+ *
+ * <p>Invariants: an answer is passed on only when it names the request that was sent; a request is sent again only within
+ * the retry budget, unless the last runner surely saw nothing of it. Safe for use by many threads.
+ */
+final class IdempotentSender implements RequestController.Sender {
+    private static final int MAX_SENDS = 4;
+    private static final double RETRY_FRACTION = 0.2;
+    private static final double RETRY_CAPACITY = 20;
+
+    private static final Events EVENTS = Events.of(IdempotentSender.class);
+
+    private final Rpc rpc;
+    private final Clock clock;
+    private final RetryBudget budget = new RetryBudget(RETRY_FRACTION, RETRY_CAPACITY);
+
+    IdempotentSender(Rpc rpc, Clock clock) {
+        this.rpc = rpc;
+        this.clock = clock;
+    }
+
+    @Override
+    public CompletableFuture<Optional<Answer>> send(Pending pending, RunnerView runner) {
+        CallerRequest r = pending.request();
+        if (pending.sends() == 1) {
+            budget.record();
+        }
+        long left = Math.max(1, r.deadlineAtMs() - clock.nowMs());
+        Execute message =
+                new Execute(r.id(), r.workspace(), true, r.method(), r.path(), r.contentType(), r.body(), left);
+        return rpc.call(runner.address(), message, Executed.class, left)
+                .handle((e, t) -> t == null ? answered(pending, runner, e) : failed(pending, runner, t));
+    }
+
+    private Optional<Answer> answered(Pending pending, RunnerView runner, Executed e) {
+        CallerRequest r = pending.request();
+        if (!e.requestId().equals(r.id()) || !e.workspace().equals(r.workspace())) {
+            throw new PollenreachException(ResultCode.ANSWER_CUT, runner.id() + " answered another request");
+        }
+        if (e.outcome() == Outcome.ANSWERED) {
+            return Optional.of(Answer.of(e, runner.id()));
+        }
+        if (e.outcome() != Outcome.REFUSED) {
+            pending.notePerhapsRun();
+        }
+        return again(pending, runner, e.outcome() == Outcome.REFUSED, e.outcome() + " " + e.detail());
+    }
+
+    private Optional<Answer> failed(Pending pending, RunnerView runner, Throwable t) {
+        PollenreachException e = PollenreachException.of(t);
+        boolean unseen = e.code() == ResultCode.PEER_UNREACHABLE;
+        if (!unseen) {
+            pending.notePerhapsRun();
+        }
+        return again(pending, runner, unseen, e.code().number() + " " + e.getMessage());
+    }
+
+    private Optional<Answer> again(Pending pending, RunnerView runner, boolean unseen, String why) {
+        boolean inTime = clock.nowMs() < pending.request().deadlineAtMs();
+        boolean more = pending.sends() < MAX_SENDS && (unseen || budget.tryAcquire());
+        EVENTS.info(
+                "retry",
+                "request",
+                pending.request().key(),
+                "runner",
+                runner.id(),
+                "again",
+                more && inTime,
+                "reason",
+                why);
+        if (more || !pending.perhapsRun()) {
+            return Optional.empty();
+        }
+        throw new PollenreachException(inTime ? ResultCode.TARGET_FAILED : ResultCode.DEADLINE_PASSED, why);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestController.java
@@ -0,0 +1,284 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.Workspace;
+import io.pollenreach.daemon.internal.entry.ServiceQueue.Dispatch;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.internal.claims.Admission;
+import io.pollenreach.internal.routing.LengthEstimator;
+import io.pollenreach.internal.routing.Router;
+import io.pollenreach.internal.routing.RunnerView;
+import io.pollenreach.internal.wire.TargetInfo;
+import io.pollenreach.internal.wire.TargetKind;
+
+/**
+ * Takes callers' requests, lets them wait by workspace and sends them to runners.
+ *
+ * <p>Invariants: each request that is taken is completed exactly once, by its deadline; it is sent only after the request
+ * table has counted it as started; a copy of a request under way here joins it. Safe for use by many threads.
+ */
+final class RequestController {
+    /** The longest deadline that a caller may set, in milliseconds. */
+    static final long MAX_DEADLINE_MS = 60_000;
+
+    private static final long DEADLINE_MARGIN_MS = 50;
+    private static final double DEFAULT_LENGTH_MS = 200;
+
+    private static final Events EVENTS = Events.of(RequestController.class);
+
+    private final Board board;
+    private final Burial burial;
+    private final Sender idempotent;
+    private final Sender claimed;
+    private final Router router;
+    private final String zone;
+    private final Clock clock;
+    private final ScheduledExecutorService timer;
+    private final LengthEstimator lengths = new LengthEstimator(DEFAULT_LENGTH_MS);
+    private final Map<String, Pending> underWay = new ConcurrentHashMap<>();
+    private final Map<String, ServiceQueue> queues = new ConcurrentHashMap<>();
+
+    /** Sends a request that has been admitted to a runner. */
+    interface Sender {
+        /**
+         * Sends the request.
+         *
+         * @return the whole answer; empty when surely no runner saw a byte or the request may run again, so that it may
+         *     be sent to another runner; fails with the code to answer otherwise
+         */
+        CompletableFuture<Optional<Answer>> send(Pending pending, RunnerView runner);
+    }
+
+    RequestController(
+            Board board,
+            Burial burial,
+            Sender idempotent,
+            Sender claimed,
+            Router router,
+            String zone,
+            Clock clock,
+            ScheduledExecutorService timer) {
+        this.board = board;
+        this.burial = burial;
+        this.idempotent = idempotent;
+        this.claimed = claimed;
+        this.router = router;
+        this.zone = zone;
+        this.clock = clock;
+        this.timer = timer;
+    }
+
+    /** Takes a request; the future completes with the runner's whole answer or a numbered failure. */
+    CompletableFuture<Answer> handle(CallerRequest request) {
+        Pending pending = new Pending(request, clock.nowMs());
+        Pending earlier = underWay.putIfAbsent(request.key(), pending);
+        if (earlier != null) {
+            return join(earlier, pending);
+        }
+        enqueue(pending);
+        return pending.answer();
+    }
+
+    private static CompletableFuture<Answer> join(Pending earlier, Pending copy) {
+        if (earlier.digest().equals(copy.digest())) {
+            return earlier.answer();
+        }
+        return CompletableFuture.failedFuture(new PollenreachException(
+                ResultCode.REQUEST_MISMATCH, "Request-Id", "another request with this id is under way"));
+    }
+
+    private void enqueue(Pending p) {
+        CallerRequest r = p.request();
+        Optional<Workspace> workspace = board.config().get().workspace(r.workspace());
+        if (workspace.isEmpty()) {
+            fail(p, new PollenreachException(ResultCode.NOT_FOUND, "workspace", "no workspace " + r.workspace()));
+            return;
+        }
+        Workspace w = workspace.get();
+        double expected = lengths.expectedMs(r.workspace(), r.path());
+        if (!queue(r.service()).offer(p, w.share(), w.maxWaitingRequests(), expected)) {
+            fail(p, new PollenreachException(ResultCode.OVERLOADED, "limit " + w.maxWaitingRequests()));
+            return;
+        }
+        long left = Math.max(0, r.deadlineAtMs() - clock.nowMs() - DEADLINE_MARGIN_MS);
+        timer.schedule(() -> expire(p), left, TimeUnit.MILLISECONDS);
+        pump(r.service());
+    }
+
+    private ServiceQueue queue(String service) {
+        return queues.computeIfAbsent(service, s -> new ServiceQueue(zone, router, clock));
+    }
+
+    /** Sends what waits wherever runners have room. */
+    void pump() {
+        queues.keySet().forEach(this::pump);
+    }
+
+    private void pump(String service) {
+        ServiceQueue queue = queue(service);
+        Optional<Dispatch> next = queue.next(() -> runners(service));
+        while (next.isPresent()) {
+            dispatch(queue, next.get());
+            next = queue.next(() -> runners(service));
+        }
+    }
+
+    private List<RunnerView> runners(String service) {
+        Set<String> draining = board.config().get().draining();
+        return board.targets().usable(clock.nowMs()).stream()
+                .filter(t -> t.kind() == TargetKind.RUNNER && t.service().equals(service))
+                .map(t -> runner(t, !draining.contains(t.id())))
+                .toList();
+    }
+
+    private static RunnerView runner(TargetInfo t, boolean usable) {
+        return new RunnerView(
+                t.id(),
+                t.zone(),
+                t.address(),
+                t.slots(),
+                t.load().inUse(),
+                t.load().queued(),
+                0,
+                t.load().meanServiceMs(),
+                t.load().recentFailures(),
+                usable);
+    }
+
+    private void dispatch(ServiceQueue queue, Dispatch d) {
+        Pending p = d.pending();
+        if (p.answer().isDone()) {
+            queue.returned(d.runner().id());
+            return;
+        }
+        if (!p.started() && !admit(p)) {
+            queue.returned(d.runner().id());
+            return;
+        }
+        long now = clock.nowMs();
+        p.sentTo(d.runner().id());
+        EVENTS.info(
+                "route",
+                "request",
+                p.request().key(),
+                "runner",
+                d.runner().id(),
+                "send",
+                p.sends(),
+                "waitedMs",
+                now - p.arrivedMs(),
+                "reason",
+                d.reason());
+        Sender sender = p.request().idempotent() ? idempotent : claimed;
+        sender.send(p, d.runner()).whenComplete((answer, t) -> {
+            queue.returned(d.runner().id());
+            if (t != null) {
+                fail(p, PollenreachException.of(t));
+            } else if (answer.isPresent()) {
+                lengths.record(p.request().workspace(), p.request().path(), clock.nowMs() - now);
+                succeed(p, answer.get());
+            } else {
+                sendAgain(queue, p);
+            }
+            pump(p.request().service());
+        });
+    }
+
+    private boolean admit(Pending p) {
+        Admission admission = board.requests().admit(p.request().key());
+        if (admission == Admission.STARTED) {
+            p.start();
+            return true;
+        }
+        fail(p, new PollenreachException(codeOf(admission), "admission " + admission));
+        return false;
+    }
+
+    private static ResultCode codeOf(Admission admission) {
+        switch (admission) {
+            case TOMBSTONED:
+                return ResultCode.NOT_RUN;
+            case ALREADY_STARTED:
+                return ResultCode.IN_PROGRESS;
+            default:
+                return ResultCode.NOT_ADMITTED;
+        }
+    }
+
+    private void sendAgain(ServiceQueue queue, Pending p) {
+        CallerRequest r = p.request();
+        Workspace w = board.config().get().workspace(r.workspace()).orElse(null);
+        boolean inTime = !p.closedToRetries() && clock.nowMs() < r.deadlineAtMs() - DEADLINE_MARGIN_MS;
+        boolean queued = inTime && w != null && queue.offer(p, w.share(), Integer.MAX_VALUE, 0);
+        if (!queued) {
+            giveUp(p, "no runner took it in time");
+        }
+    }
+
+    private void expire(Pending p) {
+        if (p.answer().isDone()) {
+            return;
+        }
+        queue(p.request().service()).remove(p);
+        giveUp(p, "the deadline passed");
+    }
+
+    private void giveUp(Pending p, String why) {
+        if (p.perhapsRun()) {
+            ResultCode code = p.request().idempotent() ? ResultCode.DEADLINE_PASSED : ResultCode.OUTCOME_UNKNOWN;
+            fail(p, new PollenreachException(code, why));
+            return;
+        }
+        CompletableFuture<Answer> refusal =
+                p.started() ? burial.retract(p.request(), why) : burial.refuse(p.request(), why);
+        refusal.whenComplete((a, t) -> fail(p, PollenreachException.of(t)));
+    }
+
+    private void succeed(Pending p, Answer answer) {
+        settle(p);
+        p.answer().complete(answer);
+    }
+
+    private void fail(Pending p, PollenreachException e) {
+        settle(p);
+        if (p.answer().completeExceptionally(e)) {
+            EVENTS.info(
+                    "request-refused",
+                    "request",
+                    p.request().key(),
+                    "code",
+                    e.code().number(),
+                    "sends",
+                    p.sends(),
+                    "detail",
+                    e.getMessage());
+        }
+    }
+
+    private void settle(Pending p) {
+        if (underWay.remove(p.request().key(), p) && p.started()) {
+            board.requests().finish(p.request().key());
+        }
+    }
+
+    /** Returns how many requests are under way here. */
+    int underWay() {
+        return underWay.size();
+    }
+
+    /** Returns how many requests wait for a runner. */
+    int waiting() {
+        return queues.values().stream().mapToInt(ServiceQueue::waiting).sum();
+    }
+}
