Add settings files, declarations, the command line and log set-up

Cause: the daemons had records for settings but no way to read them, and operators had no program.

Ruled out: binding YAML straight to the records, since Jackson stops at the first fault, knows no lines after binding and ignores duplicate keys.

Change: one reader keeps the line of each value; one table of fields per program and per kind drives checks and defaults; all faults of a file are reported at once with file, line, key and code. Airline commands entry, agent, check, apply, get, watch, submit, cancel, drain, request and status. HttpReply also carries the header Pollenreach-Code, which tells a runner's answer from the system's own error. EntryDaemon and AgentDaemon are placeholders here, to be dropped when the real ones are merged. SnakeYAML is pinned to 2.5: Ratpack brought 1.27, with which Jackson's reader fails with NoSuchMethodError.

Conclusion: the file side works offline; the client side has not yet met a server.

--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/StatusCommand.java
@@ -0,0 +1,45 @@
+package io.pollenreach.daemon.internal.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.rvesse.airline.annotations.Command;
+import io.pollenreach.ResultCode;
+
+/** Shows the state of the system. For use by one thread. */
+@Command(name = "status", description = "Shows entries, configuration version, readiness and counts")
+public final class StatusCommand extends ClientCommand {
+    @Override
+    int run(Console console, ApiClient api) {
+        JsonNode status = api.get("/v1/status");
+        if (json()) {
+            console.out().println(status.toPrettyString());
+            return ResultCode.OK.exitStatus();
+        }
+        TextTable table = new TextTable("KEY", "VALUE");
+        addRows("", status, table);
+        table.print(console.out());
+        return ResultCode.OK.exitStatus();
+    }
+
+    private static void addRows(String prefix, JsonNode node, TextTable table) {
+        node.fields().forEachRemaining(f -> {
+            String key = prefix + f.getKey();
+            if (f.getValue().isObject()) {
+                addRows(key + ".", f.getValue(), table);
+                return;
+            }
+            table.add(List.of(key, text(f.getValue())));
+        });
+    }
+
+    private static String text(JsonNode value) {
+        if (!value.isArray()) {
+            return value.asText();
+        }
+        List<String> parts = new ArrayList<>();
+        value.forEach(v -> parts.add(v.isValueNode() ? v.asText() : v.toString()));
+        return String.join(",", parts);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package io.pollenreach.daemon.internal.cli;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
@@ -80,7 +80,9 @@
         String type =
                 Optional.ofNullable(r.getBody().getContentType().getType()).orElse("");
         String id = Optional.ofNullable(r.getHeaders().get("X-Request-Id")).orElse("");
-        return new HttpReply(r.getStatusCode(), type, r.getBody().getBytes(), id);
+        String code =
+                Optional.ofNullable(r.getHeaders().get("Pollenreach-Code")).orElse("");
+        return new HttpReply(r.getStatusCode(), type, r.getBody().getBytes(), id, code);
     }
 
     private static PollenreachException failure(URI uri, Throwable t) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/log/Events.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/log/Events.java
@@ -47,7 +47,11 @@
     }
 
     static String format(String event, Object... keysAndValues) {
-        StringBuilder line = new StringBuilder("event=").append(event);
+        return "event=" + event + pairs(keysAndValues);
+    }
+
+    static String pairs(Object... keysAndValues) {
+        StringBuilder line = new StringBuilder();
         for (int i = 0; i + 1 < keysAndValues.length; i += 2) {
             line.append(' ').append(keysAndValues[i]).append('=').append(quote(String.valueOf(keysAndValues[i + 1])));
         }
