--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/OrphanStopper.java
@@ -0,0 +1,42 @@
+package io.pollenreach.daemon.internal.agent;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.platform.TaskRuntime;
+import io.pollenreach.daemon.internal.platform.TaskStatus;
+
+/**
+ * Stops, when an agent starts, the tasks that an earlier agent left behind.
+ *
+ * <p>Invariant: {@link #attempt()} answers true only when the runtime itself says that no task runs or is held. Called
+ * from one thread.
+ */
+final class OrphanStopper {
+    private static final Events EVENTS = Events.of(OrphanStopper.class);
+
+    private final TaskRuntime runtime;
+
+    OrphanStopper(TaskRuntime runtime) {
+        this.runtime = runtime;
+    }
+
+    /** Stops what is left; answers whether nothing was, so that the agent may announce itself. */
+    CompletableFuture<Boolean> attempt() {
+        return runtime.list().thenCompose(this::stopAll).exceptionally(t -> {
+            EVENTS.warn("orphans-unknown", "why", t.getMessage());
+            return false;
+        });
+    }
+
+    private CompletableFuture<Boolean> stopAll(List<TaskStatus> tasks) {
+        List<TaskStatus> live = tasks.stream().filter(s -> !s.state().ended()).toList();
+        CompletableFuture<Boolean> done = CompletableFuture.completedFuture(live.isEmpty());
+        for (TaskStatus status : live) {
+            EVENTS.info("orphan-stopped", "task", status.id(), "state", status.state());
+            done = done.thenCombine(runtime.stop(status.id(), 0), (before, ended) -> before);
+        }
+        return done;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerGuard.java
@@ -0,0 +1,269 @@
+package io.pollenreach.daemon.internal.agent;
+
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.http.HttpReply;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.settings.AgentSettings;
+import io.pollenreach.internal.wire.Execute;
+import io.pollenreach.internal.wire.Executed;
+import io.pollenreach.internal.wire.Inquire;
+import io.pollenreach.internal.wire.Load;
+import io.pollenreach.internal.wire.Message;
+import io.pollenreach.internal.wire.Outcome;
+
+/**
+ * The authority on a runner's slots: admits requests, passes them on and remembers what became of them.
+ *
+ * <p>Invariants: at most {@code slots} requests are at the runner; a request that is known is never started a second
+ * time unless it is idempotent and did not end well; {@code REFUSED} is answered only when the runner saw no byte of the
+ * request, and then every later copy within {@link AnswerStore#RETENTION_MS} is refused too. Safe for use by many
+ * threads: one lock guards all state; no call is made and no future completed under it.
+ */
+final class RunnerGuard {
+    /** How long a request may occupy a slot, in milliseconds; its caller may have gone long before. */
+    static final long RUN_LIMIT_MS = 600_000;
+
+    private static final Events EVENTS = Events.of(RunnerGuard.class);
+    private static final byte[] NO_BODY = new byte[0];
+    private static final double SMOOTHING = 0.2;
+    private static final int SERVER_ERROR = 500;
+
+    private final AgentSettings settings;
+    private final RunnerCalls calls;
+    private final Clock clock;
+    private final FailureWindow failures;
+    private final long incarnation;
+    private final AnswerStore answers;
+    private final Map<RequestKey, Running> running = new HashMap<>();
+    private final Deque<Running> queue = new ArrayDeque<>();
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private int inUse;
+    private boolean draining;
+    private double meanServiceMs;
+
+    private static final class Running {
+        private final RequestKey key;
+        private final Execute request;
+        private final long deadlineMs;
+        private final CompletableFuture<Message> future = new CompletableFuture<>();
+        private long startedMs;
+
+        private Running(RequestKey key, Execute request, long deadlineMs) {
+            this.key = key;
+            this.request = request;
+            this.deadlineMs = deadlineMs;
+        }
+    }
+
+    RunnerGuard(AgentSettings settings, RunnerCalls calls, Clock clock, FailureWindow failures, long incarnation) {
+        this.settings = settings;
+        this.calls = calls;
+        this.clock = clock;
+        this.failures = failures;
+        this.incarnation = incarnation;
+        this.answers = new AnswerStore(clock);
+    }
+
+    /** Serves a request, or answers what has become of it already. */
+    CompletableFuture<Message> execute(Execute e) {
+        RequestKey key = new RequestKey(e.workspace(), e.requestId());
+        Running request;
+        boolean start;
+        synchronized (this) {
+            Running known = running.get(key);
+            if (known != null) {
+                return known.future;
+            }
+            Optional<Executed> answer = answers.get(key).filter(a -> isFinal(e, a));
+            if (answer.isPresent()) {
+                return CompletableFuture.completedFuture(answer.get());
+            }
+            Optional<String> refusal = refusal();
+            if (refusal.isPresent()) {
+                return CompletableFuture.completedFuture(refuse(key, e.idempotent(), refusal.get()));
+            }
+            request = new Running(key, e, clock.nowMs() + e.deadlineMs());
+            running.put(key, request);
+            start = inUse < settings.slots();
+            if (start) {
+                inUse++;
+            } else {
+                queue.addLast(request);
+            }
+        }
+        if (start) {
+            start(request);
+        }
+        return request.future;
+    }
+
+    private static boolean isFinal(Execute e, Executed answer) {
+        if (!e.idempotent() || answer.outcome() == Outcome.REFUSED) {
+            return true;
+        }
+        return answer.outcome() == Outcome.ANSWERED && answer.status() < SERVER_ERROR;
+    }
+
+    private Optional<String> refusal() {
+        if (draining) {
+            return Optional.of("the runner is draining");
+        }
+        if (inUse + queue.size() >= Math.max(settings.slots(), settings.connections())) {
+            return Optional.of("no slot is free and the queue is full");
+        }
+        return Optional.empty();
+    }
+
+    private Executed refuse(RequestKey key, boolean idempotent, String why) {
+        EVENTS.info("request-refused", "workspace", key.workspace(), "request", key.id(), "why", why);
+        Executed refused = without(key, Outcome.REFUSED, why);
+        answers.put(key, idempotent, refused);
+        return refused;
+    }
+
+    private static Executed without(RequestKey key, Outcome outcome, String detail) {
+        return new Executed(key.id(), key.workspace(), outcome, 0, "", NO_BODY, detail);
+    }
+
+    private void start(Running request) {
+        Execute e = request.request;
+        request.startedMs = clock.nowMs();
+        Map<String, String> headers = new HashMap<>();
+        headers.put("X-Request-Id", e.requestId());
+        headers.put("X-Workspace", e.workspace());
+        if (e.contentType() != null && !e.contentType().isEmpty()) {
+            headers.put("Content-Type", e.contentType());
+        }
+        CompletableFuture<HttpReply> reply;
+        try {
+            URI uri = URI.create(settings.targetUri() + e.path());
+            byte[] body = e.body() == null ? NO_BODY : e.body();
+            reply = calls.call(e.method(), uri, headers, body, RUN_LIMIT_MS);
+        } catch (IllegalArgumentException bad) {
+            PollenreachException refused =
+                    new PollenreachException(ResultCode.PEER_UNREACHABLE, "bad path: " + bad.getMessage());
+            reply = CompletableFuture.failedFuture(refused);
+        }
+        reply.whenComplete((r, t) -> finish(request, t == null ? answered(request, r) : failed(request, t)));
+    }
+
+    private static Executed answered(Running request, HttpReply r) {
+        Execute e = request.request;
+        if (!e.requestId().equals(r.requestId())) {
+            String detail = ResultCode.ANSWER_CUT + ": the answer names request '" + r.requestId() + "'";
+            return without(request.key, Outcome.UNKNOWN, detail);
+        }
+        return new Executed(
+                e.requestId(), e.workspace(), Outcome.ANSWERED, r.status(), r.contentType(), r.body(), "");
+    }
+
+    private static Executed failed(Running request, Throwable t) {
+        PollenreachException e = PollenreachException.of(t);
+        Outcome outcome = e.code() == ResultCode.PEER_UNREACHABLE ? Outcome.REFUSED : Outcome.UNKNOWN;
+        return without(request.key, outcome, e.getMessage());
+    }
+
+    private void finish(Running request, Executed answer) {
+        boolean bad = answer.outcome() != Outcome.ANSWERED || answer.status() >= SERVER_ERROR;
+        if (bad) {
+            failures.add();
+            EVENTS.warn(
+                    "request-failed",
+                    "workspace",
+                    request.key.workspace(),
+                    "request",
+                    request.key.id(),
+                    "outcome",
+                    answer.outcome(),
+                    "status",
+                    answer.status(),
+                    "why",
+                    answer.detail());
+        }
+        synchronized (this) {
+            answers.put(request.key, request.request.idempotent(), answer);
+            running.remove(request.key);
+            inUse--;
+            if (!bad) {
+                long tookMs = clock.nowMs() - request.startedMs;
+                meanServiceMs = meanServiceMs == 0 ? tookMs : meanServiceMs + SMOOTHING * (tookMs - meanServiceMs);
+            }
+        }
+        request.future.complete(answer);
+        tick();
+    }
+
+    /** Refuses queued requests whose deadline has passed, starts the next ones and notices the end of a drain. */
+    void tick() {
+        List<Running> late = new ArrayList<>();
+        List<Running> next = new ArrayList<>();
+        boolean empty;
+        synchronized (this) {
+            long nowMs = clock.nowMs();
+            for (Running r : queue) {
+                if (nowMs >= r.deadlineMs) {
+                    late.add(r);
+                }
+            }
+            queue.removeAll(late);
+            late.forEach(r -> running.remove(r.key));
+            while (inUse < settings.slots() && !queue.isEmpty()) {
+                inUse++;
+                next.add(queue.removeFirst());
+            }
+        }
+        for (Running r : late) {
+            r.future.complete(refuseLate(r));
+        }
+        next.forEach(this::start);
+        synchronized (this) {
+            empty = draining && running.isEmpty();
+        }
+        if (empty) {
+            drained.complete(null);
+        }
+    }
+
+    private synchronized Executed refuseLate(Running r) {
+        return refuse(r.key, r.request.idempotent(), "its deadline passed in the queue");
+    }
+
+    /** Tells what became of a request; one that was never seen will be refused when it comes after all. */
+    synchronized CompletableFuture<Message> inquire(Inquire i) {
+        RequestKey key = new RequestKey(i.workspace(), i.requestId());
+        if (running.containsKey(key)) {
+            return CompletableFuture.completedFuture(without(key, Outcome.RUNNING, ""));
+        }
+        Optional<Executed> answer = answers.get(key);
+        if (answer.isPresent()) {
+            return CompletableFuture.completedFuture(answer.get());
+        }
+        refuse(key, false, "it was inquired about before it came");
+        return CompletableFuture.completedFuture(without(key, Outcome.NEVER_SEEN, "incarnation=" + incarnation));
+    }
+
+    /** Refuses new requests from now on; completes when those in flight, queued ones included, are answered. */
+    CompletableFuture<Void> drain() {
+        synchronized (this) {
+            draining = true;
+        }
+        tick();
+        return drained;
+    }
+
+    synchronized Load load() {
+        return new Load(inUse, queue.size(), meanServiceMs, failures.count());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerGuard.java
@@ -0,0 +1,238 @@
+package io.pollenreach.daemon.internal.agent;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.platform.TaskRuntime;
+import io.pollenreach.internal.gang.GangLeader;
+import io.pollenreach.internal.gang.GangMember;
+import io.pollenreach.internal.gang.PartKey;
+import io.pollenreach.internal.wire.Ack;
+import io.pollenreach.internal.wire.AttemptId;
+import io.pollenreach.internal.wire.Message;
+import io.pollenreach.internal.wire.Part;
+import io.pollenreach.internal.wire.PartAnswer;
+import io.pollenreach.internal.wire.PartReport;
+import io.pollenreach.internal.wire.PartState;
+import io.pollenreach.internal.wire.Prepare;
+import io.pollenreach.internal.wire.Release;
+import io.pollenreach.internal.wire.Reserve;
+import io.pollenreach.internal.wire.Reserved;
+import io.pollenreach.internal.wire.Stop;
+import io.pollenreach.internal.wire.Unreserve;
+
+/**
+ * The authority on a worker's accelerators: answers the entries' calls about parts.
+ *
+ * <p>Invariants: a task is created only for a reservation that holds its accelerators, and started only once, within
+ * the time for a release; nothing is done for a fenced attempt. Safe for use by many threads. Lock order: the table's
+ * lock, then the gang member's.
+ */
+final class WorkerGuard {
+    private static final Events EVENTS = Events.of(WorkerGuard.class);
+
+    private final PartTable table;
+    private final PartStopper stopper;
+    private final TaskRuntime runtime;
+    private final GangMember member;
+    private final GangLeader leader;
+    private final FailureWindow failures;
+    private final Clock clock;
+    private volatile ResultCode closed = ResultCode.NOT_READY;
+
+    WorkerGuard(
+            PartTable table,
+            PartStopper stopper,
+            TaskRuntime runtime,
+            GangMember member,
+            GangLeader leader,
+            FailureWindow failures,
+            Clock clock) {
+        this.table = table;
+        this.stopper = stopper;
+        this.runtime = runtime;
+        this.member = member;
+        this.leader = leader;
+        this.failures = failures;
+        this.clock = clock;
+    }
+
+    /** Takes work from now on. */
+    void open() {
+        closed = ResultCode.OK;
+    }
+
+    /** Takes no new reservations from now on. */
+    void drain() {
+        closed = ResultCode.DRAINING;
+    }
+
+    /** Answers a call of an entry. */
+    CompletableFuture<Message> handle(Message message) {
+        if (closed == ResultCode.NOT_READY) {
+            throw new PollenreachException(ResultCode.NOT_READY, "older tasks are still being stopped");
+        }
+        if (message instanceof Reserve) {
+            return reserve((Reserve) message);
+        }
+        if (message instanceof Unreserve) {
+            return unreserve((Unreserve) message);
+        }
+        if (message instanceof Prepare) {
+            return prepare((Prepare) message);
+        }
+        if (message instanceof Release) {
+            return release((Release) message);
+        }
+        if (message instanceof Stop) {
+            return stop((Stop) message);
+        }
+        throw new PollenreachException(ResultCode.UNKNOWN_KIND, "a worker's agent does not take this message");
+    }
+
+    private CompletableFuture<Message> reserve(Reserve r) {
+        PartTable.Admission admission;
+        try {
+            if (closed == ResultCode.DRAINING) {
+                throw new PollenreachException(ResultCode.DRAINING, "the worker takes no new work");
+            }
+            admission = table.reserve(r);
+        } catch (PollenreachException e) {
+            EVENTS.info(
+                    "reserve-refused",
+                    "job",
+                    r.id().job(),
+                    "attempt",
+                    r.id().attempt(),
+                    "code",
+                    e.code().number(),
+                    "why",
+                    e.getMessage());
+            throw e;
+        }
+        for (HeldPart victim : admission.victims()) {
+            boolean superseded = victim.key.id().job().equals(r.id().job());
+            String why = superseded ? "superseded by attempt " + r.id().attempt() : "reclaimed for " + r.id().job();
+            stopper.stop(victim, superseded ? 0 : r.graceMs(), why);
+        }
+        stopper.grantWaiting();
+        return admission.part().granted.thenApply(v -> new Reserved(r.id(), r.rank()));
+    }
+
+    private CompletableFuture<Message> unreserve(Unreserve u) {
+        table.find(new PartKey(u.id(), u.rank()))
+                .filter(p -> p.state == PartState.RESERVED && !p.created)
+                .ifPresent(p -> stopper.stop(p, 0, "given back"));
+        return CompletableFuture.completedFuture(new Ack());
+    }
+
+    private CompletableFuture<Message> prepare(Prepare p) {
+        HeldPart part = find(p.id(), p.rank());
+        boolean first = table.change(part, WorkerGuard::preparable, () -> {
+            part.preparing = new CompletableFuture<>();
+            part.created = true;
+            part.settleable = true;
+            part.gang = p.gang();
+            part.renewedMs = clock.nowMs();
+        });
+        if (part.preparing == null) {
+            throw new PollenreachException(ResultCode.NO_CAPACITY, "the reservation lapsed or is not granted");
+        }
+        if (first) {
+            create(part, p);
+        }
+        return part.preparing.thenApply(v -> new PartAnswer(table.report(part)));
+    }
+
+    private static boolean preparable(HeldPart part) {
+        return part.state == PartState.RESERVED && !part.waiting && part.preparing == null;
+    }
+
+    private void create(HeldPart part, Prepare p) {
+        if (p.rank() == 0) {
+            leader.lead(p.id(), p.gang().stream().map(Part::rank).toList());
+        }
+        runtime.create(part.task, part.accelerators, p.command(), AgentTimes.TASK_LEASE_MS)
+                .whenComplete((v, t) -> created(part, t));
+    }
+
+    private void created(HeldPart part, Throwable t) {
+        part.renewedMs = clock.nowMs();
+        if (t != null) {
+            failures.add();
+            part.preparing.completeExceptionally(PollenreachException.of(t));
+            stopper.stop(part, 0, "not created: " + t.getMessage());
+            return;
+        }
+        member.prepared(part.key);
+        if (table.change(part, q -> q.state == PartState.RESERVED, () -> part.state = PartState.PREPARED)) {
+            EVENTS.info("part-prepared", "task", part.task);
+            part.preparing.complete(null);
+            return;
+        }
+        member.remove(part.key);
+        part.preparing.completeExceptionally(
+                new PollenreachException(ResultCode.STALE_ATTEMPT, "stopped while it was prepared"));
+    }
+
+    private CompletableFuture<Message> release(Release r) {
+        HeldPart part = find(r.id(), r.rank());
+        boolean first = table.change(part, this::releasable, () -> {
+            part.starting = new CompletableFuture<>();
+            part.startedMs = clock.nowMs();
+            part.state = PartState.RUNNING;
+        });
+        if (first) {
+            EVENTS.info("part-released", "task", part.task);
+            runtime.start(part.task).whenComplete((v, t) -> started(part, t));
+        }
+        if (part.starting != null) {
+            return part.starting.thenApply(v -> new PartAnswer(table.report(part)));
+        }
+        if (part.state == PartState.PREPARED) {
+            stopper.stop(part, 0, "released too late");
+        }
+        throw new PollenreachException(ResultCode.STALE_ATTEMPT, "cannot be released: it is " + part.state);
+    }
+
+    private boolean releasable(HeldPart part) {
+        boolean released = part.state == PartState.PREPARED && member.release(part.key);
+        if (released && !part.hasPeers()) {
+            member.remove(part.key);
+        }
+        return released;
+    }
+
+    private void started(HeldPart part, Throwable t) {
+        if (t == null) {
+            part.starting.complete(null);
+            return;
+        }
+        failures.add();
+        part.starting.completeExceptionally(PollenreachException.of(t));
+        stopper.stop(part, 0, "not started: " + t.getMessage());
+    }
+
+    private CompletableFuture<Message> stop(Stop s) {
+        PartKey key = new PartKey(s.id(), s.rank());
+        List<HeldPart> parts = table.fence(s.id());
+        parts.forEach(p -> stopper.stop(p, s.graceMs(), "stopped by an entry"));
+        return PartStopper.allEnded(parts).thenApply(v -> new PartAnswer(reportOf(key)));
+    }
+
+    private PartReport reportOf(PartKey key) {
+        Optional<HeldPart> part = table.find(key);
+        return part.map(table::report)
+                .orElseGet(() -> new PartReport(key.id(), key.rank(), PartState.STOPPED, 0, "not held here"));
+    }
+
+    private HeldPart find(AttemptId id, int rank) {
+        PartKey key = new PartKey(id, rank);
+        return table.find(key).orElseThrow(() -> table.unknown(key));
+    }
+}
