Wire the entry daemon and its resource API

Ruled out: blocking handlers; each endpoint returns a future, so that a slow platform holds no thread. Change: configuration controller with one transaction per change, API of workspaces, policies, targets, jobs, requests and status, tokens by hash, join before serving, graceful shutdown.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigSnapshot.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigSnapshot.java
@@ -36,9 +36,10 @@
      * One row.
      *
      * @param version the row's version
+     * @param revision the configuration version that brought it
      * @param value the content
      */
-    record ConfigRow(long version, JsonNode value) {}
+    record ConfigRow(long version, long revision, JsonNode value) {}
 
     private ConfigSnapshot(long version, Map<String, ConfigRow> rows) {
         this.version = version;
@@ -90,7 +91,7 @@
             if (r.deleted()) {
                 next.remove(r.key());
             } else {
-                next.put(r.key(), new ConfigRow(r.version(), r.value()));
+                next.put(r.key(), new ConfigRow(r.version(), r.revision(), r.value()));
             }
         }
         return new ConfigSnapshot(list.revision(), next);
@@ -102,6 +103,7 @@
         rows.forEach((k, r) -> {
             ObjectNode node = all.putObject(k);
             node.put("version", r.version());
+            node.put("revision", r.revision());
             node.set("value", r.value());
         });
         return all;
@@ -115,6 +117,7 @@
                         e.getKey(),
                         new ConfigRow(
                                 e.getValue().path("version").asLong(),
+                                e.getValue().path("revision").asLong(),
                                 e.getValue().path("value"))));
         return new ConfigSnapshot(version, rows);
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigTable.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigTable.java
@@ -12,6 +12,13 @@
 final class ConfigTable {
     private final AtomicReference<ConfigSnapshot> current = new AtomicReference<>(ConfigSnapshot.EMPTY);
 
+    private volatile boolean known;
+
+    /** Tells whether a configuration has been learned; an empty one counts. */
+    boolean known() {
+        return known;
+    }
+
     ConfigSnapshot get() {
         return current.get();
     }
@@ -19,12 +26,14 @@
     /** Takes over rows read from the table service since a version that was in force here; true when it changed. */
     boolean apply(RowList list) {
         ConfigSnapshot before = current.getAndUpdate(s -> s.apply(list));
+        known = true;
         return list.revision() > before.version();
     }
 
     /** Takes over a peer's snapshot when it is newer; true when it changed. */
     boolean adopt(ConfigSnapshot other) {
         ConfigSnapshot before = current.getAndUpdate(s -> other.version() > s.version() ? other : s);
+        known = true;
         return other.version() > before.version();
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -1,17 +1,259 @@
 package io.pollenreach.daemon.internal.entry;
 
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.http.HttpCaller;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.platform.GuardedTable;
+import io.pollenreach.daemon.internal.platform.HttpObjectStore;
+import io.pollenreach.daemon.internal.platform.HttpTable;
+import io.pollenreach.daemon.internal.platform.Table;
+import io.pollenreach.daemon.internal.rpc.RpcNode;
 import io.pollenreach.daemon.internal.settings.EntrySettings;
+import io.pollenreach.internal.membership.EntryInfo;
+import io.pollenreach.internal.membership.EntryView;
+import io.pollenreach.internal.placement.GuaranteedPlacer;
+import io.pollenreach.internal.routing.LoadRouter;
+import io.pollenreach.internal.wire.Message;
 
-/** Placeholder on this branch until the entry lands. Immutable. */
+/**
+ * The program {@code entry}: resource API, request routing, job scheduling and configuration.
+ *
+ * <p>Invariants: it serves only once it has a configuration in force, has joined its peers' views and has pulled their
+ * tombstones; a graceful shutdown answers every request in flight within the drain timeout. Safe for use by many
+ * threads.
+ *
+ * <pre>{@code
+ * try (EntryDaemon entry = EntryDaemon.start(settings, Clock.system())) {
+ *     awaitSignal();
+ * }
+ * }</pre>
+ */
 public final class EntryDaemon implements AutoCloseable {
-    private EntryDaemon() {}
+    private static final int HTTP_THREADS = 2;
+    private static final int PLATFORM_CONNECTIONS = 16;
+    private static final long PLATFORM_TIMEOUT_MS = 2_000;
+    private static final long PUMP_MS = 50;
+    private static final long JOIN_CHECK_MS = 100;
+    /** How long an entry that starts looks for peers before it takes itself to be the first, in milliseconds. */
+    private static final long JOIN_MS = 1_000;
+
+    private static final long DRAIN_CHECK_MS = 20;
+    /** How long peers and the balancer have to notice the drain before connections close, in milliseconds. */
+    private static final long LEAVE_MS = 600;
+
+    private static final Events EVENTS = Events.of(EntryDaemon.class);
+
+    private final EntrySettings settings;
+    private final Clock clock;
+    private final HttpCaller http;
+    private final RpcNode rpc;
+    private final EntryInfo self;
+    private final Board board;
+    private final Membership membership;
+    private final ConfigController config;
+    private final JobController jobs;
+    private final RequestController requests;
+    private final RequestApi requestApi;
+    private final ScheduledExecutorService planning = thread("planning");
+    private final ScheduledExecutorService beating = thread("beating");
+    private final ScheduledExecutorService timing = thread("timing");
+    private final ApiServer api;
+    private volatile boolean joined;
+    private volatile PeerHandler handler;
+
+    private EntryDaemon(EntrySettings settings, Clock clock) throws Exception {
+        this.settings = settings;
+        this.clock = clock;
+        http = new HttpCaller(HTTP_THREADS, PLATFORM_CONNECTIONS);
+        rpc = RpcNode.start(settings.rpcAddress(), this::handle, clock, HTTP_THREADS);
+        self = new EntryInfo(rpc.address(), settings.zone(), clock.wallMs(), false, 0);
+        board = new Board(new EntryView(self.address(), self.zone(), self.incarnation()), clock);
+        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        Table table = new GuardedTable(
+                new HttpTable(http, settings.platformUri(), PLATFORM_TIMEOUT_MS),
+                clock,
+                () -> ThreadLocalRandom.current().nextDouble(),
+                (delayMs, task) -> timing.schedule(task, delayMs, TimeUnit.MILLISECONDS),
+                Optional.of(metrics));
+        Avoidance avoidance = new Avoidance(clock);
+        ClusterViews views = new ClusterViews(board, avoidance, clock);
+        JobStore store = new JobStore(table, board.jobs(), clock);
+        jobs = jobController(store, avoidance, views);
+        config = new ConfigController(board, table, views, rpc, clock, this::changed);
+        membership = new Membership(board, rpc, clock, self, this::changed, config::poll);
+        ClaimStore claims =
+                new ClaimStore(table, new HttpObjectStore(http, settings.platformUri(), PLATFORM_TIMEOUT_MS));
+        ClaimedSender claimed = new ClaimedSender(board, claims, rpc, clock);
+        requests = new RequestController(
+                board,
+                new Burial(board, rpc, clock),
+                new IdempotentSender(rpc, clock),
+                claimed,
+                LoadRouter.builder().build(),
+                settings.zone(),
+                clock,
+                timing);
+        AgentLink agents = new AgentLink(board, clock, this::changed);
+        handler = new PeerHandler(board, membership, agents, config, jobs);
+        Access access = new Access(board.config(), settings.operatorTokenSha256());
+        int maxBody = settings.maxBodyBytes();
+        requestApi = new RequestApi(requests, claimed, access, clock, maxBody);
+        StatusApi status = new StatusApi(board, config, requests, metrics, this::ready, self, clock);
+        ConfigApi configApi = new ConfigApi(board, config, access, clock, maxBody);
+        JobApi jobApi = new JobApi(board, store, jobs, access, clock, maxBody);
+        registerGauges(metrics);
+        schedule();
+        api = ApiServer.start(settings.httpAddress(), maxBody, this::ready, status::addTo, chain -> {
+            configApi.addTo(chain);
+            jobApi.addTo(chain);
+            requestApi.addTo(chain);
+        });
+    }
+
+    /** Starts an entry; returns once its ports are open, though it may not be ready yet. */
+    public static EntryDaemon start(EntrySettings settings, Clock clock) throws Exception {
+        EntryDaemon entry = new EntryDaemon(settings, clock);
+        EVENTS.info(
+                "entry-started",
+                "entry",
+                settings.id(),
+                "rpc",
+                entry.self.address(),
+                "httpPort",
+                entry.api.port(),
+                "zone",
+                settings.zone());
+        return entry;
+    }
 
-    /** Fails: the entry is not on this branch yet. */
-    public static EntryDaemon start(EntrySettings settings, Clock clock) {
-        throw new UnsupportedOperationException("the entry is not on this branch");
+    private JobController jobController(JobStore store, Avoidance avoidance, ClusterViews views) {
+        Gangs gangs = new Gangs(rpc);
+        GangStarter starter = new GangStarter(board, store, gangs, avoidance, clock);
+        GuaranteedPlacer placer = GuaranteedPlacer.builder().build();
+        Planner planner = new Planner(board, placer, views, starter, store, clock, this::changed);
+        Supervisor supervisor = new Supervisor(store, gangs, new PartViews(board, clock), clock);
+        return new JobController(board, store, planner, supervisor, gangs, rpc, clock, planning);
+    }
+
+    private CompletableFuture<Message> handle(Message m) {
+        PeerHandler h = handler;
+        if (h == null) {
+            return CompletableFuture.failedFuture(
+                    new PollenreachException(ResultCode.NOT_READY, "the entry is starting"));
+        }
+        return h.handle(m);
+    }
+
+    private void changed() {
+        JobController j = jobs;
+        if (j != null) {
+            j.changed();
+        }
+        RequestController r = requests;
+        if (r != null) {
+            timing.execute(r::pump);
+        }
+    }
+
+    private void schedule() {
+        long pause = Membership.PEER_BEAT_MS;
+        board.entries().learn(settings.peers(), clock.nowMs());
+        beating.scheduleWithFixedDelay(this::beat, 0, pause, TimeUnit.MILLISECONDS);
+        beating.scheduleWithFixedDelay(this::join, JOIN_CHECK_MS, JOIN_CHECK_MS, TimeUnit.MILLISECONDS);
+        timing.scheduleWithFixedDelay(config::poll, 0, ConfigController.POLL_MS, TimeUnit.MILLISECONDS);
+        timing.scheduleWithFixedDelay(requests::pump, PUMP_MS, PUMP_MS, TimeUnit.MILLISECONDS);
+        jobs.start();
+    }
+
+    private void beat() {
+        board.entries().learn(settings.peers(), clock.nowMs());
+        membership.beat();
+        board.targets().forgetSilent(clock.nowMs());
+    }
+
+    /** Pulls the peers' tombstones once they have this entry in their views; only then may it serve. */
+    private void join() {
+        if (joined || clock.nowMs() - board.startedMs() < JOIN_MS) {
+            return;
+        }
+        CompletableFuture<?>[] pulls = board.entries().peers(clock.nowMs()).stream()
+                .map(p -> config.pull(p.address()))
+                .toArray(CompletableFuture[]::new);
+        CompletableFuture.allOf(pulls).whenComplete((v, t) -> {
+            if (t == null && board.config().known() && !joined) {
+                joined = true;
+                EVENTS.info("entry-joined-peers", "peers", pulls.length);
+            }
+        });
+    }
+
+    private boolean ready() {
+        return joined;
+    }
+
+    private void registerGauges(PrometheusMeterRegistry metrics) {
+        Gauge.builder("pollenreach.config.version", board, b -> b.config().get().version())
+                .description("configuration version in force at this entry")
+                .register(metrics);
+        Gauge.builder("pollenreach.requests.waiting", requests, RequestController::waiting)
+                .description("requests that wait for a runner")
+                .register(metrics);
+        Gauge.builder("pollenreach.requests.underway", requests, RequestController::underWay)
+                .description("requests that have no answer yet")
+                .register(metrics);
+        Gauge.builder("pollenreach.rpc.sent.bytes", rpc, RpcNode::bytesSent)
+                .description("bytes sent to other processes of the system")
+                .register(metrics);
+        Gauge.builder("pollenreach.rpc.received.bytes", rpc, RpcNode::bytesReceived)
+                .description("bytes received from other processes of the system")
+                .register(metrics);
+    }
+
+    /** Returns the port of the resource API. */
+    public int httpPort() {
+        return api.port();
+    }
+
+    /** Returns where agents and peers reach this entry, as {@code ip:port}. */
+    public String rpcAddress() {
+        return self.address();
     }
 
     @Override
-    public void close() {}
+    public void close() throws Exception {
+        EVENTS.info("entry-draining", "entry", settings.id(), "open", requestApi.open());
+        membership.drain();
+        requestApi.drain();
+        long deadline = clock.nowMs() + settings.drainTimeoutMs();
+        while (requestApi.open() > 0 && clock.nowMs() < deadline) {
+            Thread.sleep(DRAIN_CHECK_MS);
+        }
+        int cut = requestApi.open();
+        Thread.sleep(LEAVE_MS);
+        planning.shutdownNow();
+        beating.shutdownNow();
+        api.close();
+        timing.shutdownNow();
+        rpc.close();
+        http.close();
+        EVENTS.info("entry-stopped", "entry", settings.id(), "cutOff", cut);
+    }
+
+    private static ScheduledExecutorService thread(String name) {
+        return Executors.newSingleThreadScheduledExecutor(
+                new ThreadFactoryBuilder().setNameFormat(name).setDaemon(true).build());
+    }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobController.java
@@ -111,7 +111,7 @@
     private void round(boolean force) {
         roundDue.set(false);
         boolean mine = board.entries().plansHere(clock.nowMs());
-        if (!force && !mine || board.config().get().version() == 0) {
+        if (!force && !mine || !board.config().known()) {
             return;
         }
         try {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
@@ -31,18 +31,25 @@
     private final Clock clock;
     private final EntryInfo self;
     private final Runnable changed;
+    private final Runnable newerConfig;
     private final Map<String, Position> positions = new ConcurrentHashMap<>();
     private volatile boolean draining;
 
     private record Position(long incarnation, long targets, long parts) {}
 
-    /** Creates the controller; {@code changed} runs after a beat that told something new about targets or parts. */
-    Membership(Board board, Rpc rpc, Clock clock, EntryInfo self, Runnable changed) {
+    /**
+     * Creates the controller.
+     *
+     * @param changed runs after a beat that told something new about targets or parts
+     * @param newerConfig runs when a peer has a newer configuration in force
+     */
+    Membership(Board board, Rpc rpc, Clock clock, EntryInfo self, Runnable changed, Runnable newerConfig) {
         this.board = board;
         this.rpc = rpc;
         this.clock = clock;
         this.self = self;
         this.changed = changed;
+        this.newerConfig = newerConfig;
     }
 
     /** Sends a heartbeat to every known entry. */
@@ -113,6 +120,9 @@
         }
         board.entries().learn(beat.peers(), now);
         board.agentVersions().peer(beat.from(), Math.min(beat.configVersion(), beat.agentsConfigVersion()));
+        if (beat.configVersion() > board.config().get().version()) {
+            newerConfig.run();
+        }
         boolean news = joined;
         for (TargetInfo t : beat.targets()) {
             news |= board.targets().relayed(t, now);
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PeerHandler.java
@@ -0,0 +1,68 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.rpc.RpcHandler;
+import io.pollenreach.internal.claims.RequestTable;
+import io.pollenreach.internal.wire.Ack;
+import io.pollenreach.internal.wire.Buried;
+import io.pollenreach.internal.wire.Bury;
+import io.pollenreach.internal.wire.Heartbeat;
+import io.pollenreach.internal.wire.Hint;
+import io.pollenreach.internal.wire.Message;
+import io.pollenreach.internal.wire.PeerBeat;
+import io.pollenreach.internal.wire.PullState;
+
+/**
+ * Answers the messages of agents and peers.
+ *
+ * <p>Safe for use by many threads; it keeps no state.
+ */
+final class PeerHandler implements RpcHandler {
+    private final Board board;
+    private final Membership membership;
+    private final AgentLink agents;
+    private final ConfigController config;
+    private final JobController jobs;
+
+    PeerHandler(Board board, Membership membership, AgentLink agents, ConfigController config, JobController jobs) {
+        this.board = board;
+        this.membership = membership;
+        this.agents = agents;
+        this.config = config;
+        this.jobs = jobs;
+    }
+
+    @Override
+    public CompletableFuture<Message> handle(Message m) {
+        try {
+            return CompletableFuture.completedFuture(answer(m));
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private Message answer(Message m) {
+        if (m instanceof Heartbeat) {
+            return agents.handle((Heartbeat) m);
+        }
+        if (m instanceof PeerBeat) {
+            return membership.handle((PeerBeat) m);
+        }
+        if (m instanceof Bury) {
+            Bury bury = (Bury) m;
+            return new Buried(board.requests().bury(RequestTable.key(bury.workspace(), bury.requestId())));
+        }
+        if (m instanceof PullState) {
+            return config.state();
+        }
+        if (m instanceof Hint) {
+            jobs.hinted(((Hint) m).job());
+            return new Ack();
+        }
+        throw new PollenreachException(
+                ResultCode.BAD_FRAME, "an entry does not answer " + m.getClass().getSimpleName());
+    }
+}
