--- /dev/null
+++ b/bench/src/main/java/io/pollenreach/bench/link/package-info.java
@@ -0,0 +1,2 @@
+/** A TCP relay that makes connections fail. */
+package io.pollenreach.bench.link;
