Check declared lengths before a frame is read

Cause: the MessagePack reader allocates a declared length before it notices that the frame is shorter, so a 12-byte frame could ask for 2 GB. A pass that only skips values finds this without allocating.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/rpc/EnvelopeCodec.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/rpc/EnvelopeCodec.java
@@ -10,6 +10,8 @@
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.internal.json.Json;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -49,9 +51,9 @@
     static Envelope decode(byte[] bytes) {
         Envelope envelope;
         try {
+            checkLengths(bytes);
             envelope = READER.readValue(bytes);
-        } catch (IOException | RuntimeException | StackOverflowError | OutOfMemoryError e) {
-            // A declared length beyond the heap fails before any of it is allocated, so the heap is sound.
+        } catch (IOException | RuntimeException | StackOverflowError e) {
             throw unreadable(bytes, e);
         }
         if (envelope == null) {
@@ -66,13 +68,24 @@
         return envelope;
     }
 
+    /** Fails when a declared length exceeds the frame, since the reader would allocate it before it notices. */
+    private static void checkLengths(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            unpacker.skipValue();
+            if (unpacker.hasNext()) {
+                throw new IOException("bytes after the envelope");
+            }
+        }
+    }
+
     private static PollenreachException unreadable(byte[] bytes, Throwable cause) {
         try {
+            checkLengths(bytes);
             JsonNode version = MAPPER.readTree(bytes).path("v");
             if (version.isInt() && version.intValue() != Envelope.VERSION) {
                 return wrongVersion(version.intValue());
             }
-        } catch (IOException | RuntimeException | StackOverflowError | OutOfMemoryError e) {
+        } catch (IOException | RuntimeException | StackOverflowError e) {
             cause.addSuppressed(e);
         }
         return new PollenreachException(ResultCode.BAD_FRAME, null, "unreadable: " + cause.getClass(), cause);
