--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
@@ -9,7 +9,6 @@
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
-
 import io.pollenreach.Clock;
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.rpc.Rpc;
@@ -30,6 +29,8 @@
     private static final Events EVENTS = Events.of(HomeLink.class);
     private static final long TIMEOUT_MS = 2 * AgentTimes.HEARTBEAT_MS;
 
+    private static final int LEAVE_ATTEMPTS = 3;
+
     private final AgentSettings settings;
     private final String address;
     private final Rpc rpc;
@@ -43,6 +44,7 @@
     private boolean again;
     private boolean whole = true;
     private boolean draining;
+    private boolean left;
     private int failures;
     private long sequence;
     private long reportedVersion;
@@ -78,7 +80,7 @@
     void beat() {
         Beat beat;
         synchronized (this) {
-            if (inFlight) {
+            if (inFlight || left) {
                 return;
             }
             inFlight = true;
@@ -193,15 +195,21 @@
         beatSoon();
     }
 
-    /** Announces that the target goes; completes when an entry has heard it or the call has failed. */
+    /** Announces that the target goes; completes when an entry has heard it or several calls have failed. */
     CompletableFuture<Void> leave() {
+        return leave(LEAVE_ATTEMPTS);
+    }
+
+    private CompletableFuture<Void> leave(int attempts) {
         Beat beat;
         synchronized (this) {
             draining = true;
-            inFlight = true;
+            left = true;
             beat = next(true);
         }
-        return send(beat).handle((reply, t) -> null);
+        return send(beat)
+                .handle((reply, t) -> t != null && attempts > 1)
+                .thenCompose(retry -> retry ? leave(attempts - 1) : CompletableFuture.completedFuture(null));
     }
 
     /** Returns the milliseconds since the last heartbeat that an entry answered was sent, or since the start. */
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerAgent.java
@@ -0,0 +1,70 @@
+package io.pollenreach.daemon.internal.agent;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.settings.AgentSettings;
+import io.pollenreach.internal.wire.Execute;
+import io.pollenreach.internal.wire.Inquire;
+import io.pollenreach.internal.wire.Load;
+import io.pollenreach.internal.wire.Message;
+
+/**
+ * A runner's part of the agent.
+ *
+ * <p>Safe for use by many threads.
+ */
+final class RunnerAgent implements TargetAgent {
+    private final RunnerGuard guard;
+
+    RunnerAgent(AgentSettings settings, RunnerCalls calls, Clock clock) {
+        guard = new RunnerGuard(settings, calls, clock, new FailureWindow(clock), clock.wallMs());
+    }
+
+    @Override
+    public CompletableFuture<Message> handle(Message message) {
+        if (message instanceof Execute) {
+            return guard.execute((Execute) message);
+        }
+        if (message instanceof Inquire) {
+            return guard.inquire((Inquire) message);
+        }
+        throw new PollenreachException(ResultCode.UNKNOWN_KIND, "a runner's agent does not take this message");
+    }
+
+    @Override
+    public void tick() {
+        guard.tick();
+    }
+
+    @Override
+    public boolean ready() {
+        return true;
+    }
+
+    @Override
+    public Load load() {
+        return guard.load();
+    }
+
+    @Override
+    public PartReporter parts() {
+        return PartReporter.NONE;
+    }
+
+    @Override
+    public void join(HomeLink link) {}
+
+    @Override
+    public CompletableFuture<Void> drain() {
+        return guard.drain();
+    }
+
+    @Override
+    public CompletableFuture<Void> stopAll() {
+        // What a runner has begun can't be taken back; its callers learn that the outcome is unknown.
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerGuard.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerGuard.java
@@ -148,7 +148,7 @@
         }
         CompletableFuture<HttpReply> reply;
         try {
-            URI uri = URI.create(settings.targetUri() + e.path());
+            URI uri = uri(e.path());
             byte[] body = e.body() == null ? NO_BODY : e.body();
             reply = calls.call(e.method(), uri, headers, body, RUN_LIMIT_MS);
         } catch (IllegalArgumentException bad) {
@@ -159,14 +159,20 @@
         reply.whenComplete((r, t) -> finish(request, t == null ? answered(request, r) : failed(request, t)));
     }
 
+    private URI uri(String path) {
+        if (!path.startsWith("/")) {
+            throw new IllegalArgumentException("it must start with a slash");
+        }
+        return URI.create(settings.targetUri() + path);
+    }
+
     private static Executed answered(Running request, HttpReply r) {
         Execute e = request.request;
         if (!e.requestId().equals(r.requestId())) {
             String detail = ResultCode.ANSWER_CUT + ": the answer names request '" + r.requestId() + "'";
             return without(request.key, Outcome.UNKNOWN, detail);
         }
-        return new Executed(
-                e.requestId(), e.workspace(), Outcome.ANSWERED, r.status(), r.contentType(), r.body(), "");
+        return new Executed(e.requestId(), e.workspace(), Outcome.ANSWERED, r.status(), r.contentType(), r.body(), "");
     }
 
     private static Executed failed(Running request, Throwable t) {
@@ -208,8 +214,8 @@
     /** Refuses queued requests whose deadline has passed, starts the next ones and notices the end of a drain. */
     void tick() {
         List<Running> late = new ArrayList<>();
+        List<Executed> refused = new ArrayList<>();
         List<Running> next = new ArrayList<>();
-        boolean empty;
         synchronized (this) {
             long nowMs = clock.nowMs();
             for (Running r : queue) {
@@ -218,26 +224,26 @@
                 }
             }
             queue.removeAll(late);
-            late.forEach(r -> running.remove(r.key));
+            for (Running r : late) {
+                running.remove(r.key);
+                refused.add(refuse(r.key, r.request.idempotent(), "its deadline passed in the queue"));
+            }
             while (inUse < settings.slots() && !queue.isEmpty()) {
                 inUse++;
                 next.add(queue.removeFirst());
             }
         }
-        for (Running r : late) {
-            r.future.complete(refuseLate(r));
+        for (int i = 0; i < late.size(); i++) {
+            late.get(i).future.complete(refused.get(i));
         }
         next.forEach(this::start);
-        synchronized (this) {
-            empty = draining && running.isEmpty();
-        }
-        if (empty) {
+        if (idleAfterDrain()) {
             drained.complete(null);
         }
     }
 
-    private synchronized Executed refuseLate(Running r) {
-        return refuse(r.key, r.request.idempotent(), "its deadline passed in the queue");
+    private synchronized boolean idleAfterDrain() {
+        return draining && running.isEmpty();
     }
 
     /** Tells what became of a request; one that was never seen will be refused when it comes after all. */
