--- /dev/null
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/ExperimentCommand.java
@@ -0,0 +1,42 @@
+package io.pollenreach.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+
+/** Compares the policies over the workloads in virtual time and prints the measures. Not safe for use by many threads. */
+@Command(name = "experiment", description = "Compares routing and placement policies in virtual time")
+public final class ExperimentCommand implements Runnable {
+    @Option(name = "--seed", description = "First seed")
+    private long seed = 1;
+
+    @Option(name = "--seeds", description = "How many seeds, counted up from the first")
+    private int seeds = 5;
+
+    @Option(name = "--workload", description = "retorno or cascade; both when absent")
+    private List<String> workloads = new ArrayList<>();
+
+    @Option(name = "--policy", description = "A policy by name; all when absent")
+    private List<String> policies = new ArrayList<>();
+
+    @Override
+    public void run() {
+        List<Long> list = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) {
+            list.add(seed + i);
+        }
+        List<PolicyVersion> versions = new ArrayList<>();
+        policies.forEach(p -> versions.add(PolicyVersion.valueOf(p)));
+        Experiment experiment =
+                new Experiment(versions.isEmpty() ? Arrays.asList(PolicyVersion.values()) : versions, list);
+        List<Experiment.Row> rows = new ArrayList<>();
+        for (String w : workloads.isEmpty() ? List.of("retorno", "cascade") : workloads) {
+            rows.addAll(experiment.run(w));
+        }
+        System.out.println("seeds " + list + "; mean over the seeds [lowest-highest]");
+        TableReport.print(rows, System.out);
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/routing/FairQueue.java
+++ b/core/src/main/java/io/pollenreach/internal/routing/FairQueue.java
@@ -76,8 +76,27 @@
         return true;
     }
 
+    /** Returns the item that is served next and leaves it; empty when none waits. */
+    public Optional<T> peek() {
+        Lane<T> lane = next();
+        return lane == null ? Optional.empty() : Optional.of(lane.waiting.first().item);
+    }
+
     /** Takes the item that is served next; empty when none waits. */
     public Optional<T> poll() {
+        Lane<T> lane = next();
+        if (lane == null) {
+            return Optional.empty();
+        }
+        Entry<T> e = lane.waiting.pollFirst();
+        virtualMs = Math.max(lane.finishMs, virtualMs);
+        lane.finishMs += e.expectedMs / lane.share;
+        entries.remove(e.item);
+        return Optional.of(e.item);
+    }
+
+    /** Returns the workspace with the earliest virtual finish, or null if nothing waits. */
+    private Lane<T> next() {
         Lane<T> best = null;
         double bestFinish = 0;
         for (Lane<T> lane : lanes.values()) {
@@ -92,14 +111,7 @@
                 bestFinish = finish;
             }
         }
-        if (best == null) {
-            return Optional.empty();
-        }
-        Entry<T> e = best.waiting.pollFirst();
-        virtualMs = Math.max(best.finishMs, virtualMs);
-        best.finishMs = bestFinish;
-        entries.remove(e.item);
-        return Optional.of(e.item);
+        return best;
     }
 
     /** Takes an item out before its turn; returns whether it waited. */
