--- /dev/null
+++ b/core/src/test/java/io/pollenreach/internal/claims/RequestTableTest.java
@@ -0,0 +1,72 @@
+package io.pollenreach.internal.claims;
+
+import java.util.List;
+
+import io.pollenreach.ManualClock;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestTableTest {
+    private final ManualClock clock = new ManualClock();
+    private final RequestTable table = new RequestTable(clock, 1, 2, 2);
+
+    @Test
+    void startAndBurialExcludeEachOther() {
+        assertThat(table.admit("a")).isEqualTo(Admission.STARTED);
+        assertThat(table.bury("a")).isFalse();
+        assertThat(table.bury("b")).isTrue();
+        assertThat(table.admit("b")).isEqualTo(Admission.TOMBSTONED);
+        assertThat(table.admit("a")).isEqualTo(Admission.ALREADY_STARTED);
+    }
+
+    @Test
+    void finishedRequestMayRunAgainButIsNeverBuried() {
+        table.admit("a");
+        table.finish("a");
+        assertThat(table.bury("a")).isFalse();
+        assertThat(table.admit("a")).isEqualTo(Admission.STARTED);
+        assertThat(table.retract("a")).isFalse();
+    }
+
+    @Test
+    void retractBuriesWhatWasNeverSent() {
+        table.admit("a");
+        assertThat(table.retract("a")).isTrue();
+        assertThat(table.admit("a")).isEqualTo(Admission.TOMBSTONED);
+    }
+
+    @Test
+    void tombstonesLiveForTheirTime() {
+        table.bury("a");
+        clock.advanceMs(RequestTable.TOMBSTONE_TTL_MS - 1);
+        assertThat(table.admit("a")).isEqualTo(Admission.TOMBSTONED);
+        clock.advanceMs(1);
+        assertThat(table.tombstones()).isEmpty();
+        assertThat(table.admit("a")).isEqualTo(Admission.STARTED);
+    }
+
+    @Test
+    void nothingIsPromisedBeyondTheBoundOfTombstones() {
+        table.bury("a");
+        table.bury("b");
+        assertThat(table.bury("c")).isFalse();
+        assertThat(table.bury("a")).isTrue();
+        assertThat(table.admit("c")).isEqualTo(Admission.STARTED);
+        assertThat(table.adopt(List.of("d", "c"))).containsExactly("c");
+        assertThat(table.admit("e")).isEqualTo(Admission.FULL);
+        clock.advanceMs(RequestTable.TOMBSTONE_TTL_MS);
+        assertThat(table.admit("e")).isEqualTo(Admission.STARTED);
+    }
+
+    @Test
+    void droppedMemoryOfFinishedRequestsStopsBurials() {
+        for (String key : List.of("a", "b", "c")) {
+            table.admit(key);
+            table.finish(key);
+        }
+        assertThat(table.bury("a")).isFalse();
+        clock.advanceMs(RequestTable.TOMBSTONE_TTL_MS);
+        assertThat(table.bury("a")).isTrue();
+    }
+}
