Count an agent's configuration version only at its home

Cause: a workspace stayed ACCEPTED although every process had it in force: an agent that moved to another home left its first version 0 behind at the entry that it had announced itself to first. Ruled out: a late poll; both entries logged the version as in force. Change: an entry takes the lowest version over the agents homed at it.

--- a/core/src/main/java/io/pollenreach/internal/membership/EntryView.java
+++ b/core/src/main/java/io/pollenreach/internal/membership/EntryView.java
@@ -115,6 +115,11 @@
         return highest(PLANNER, live(nowMs));
     }
 
+    /** Returns the address of this entry. */
+    public String selfAddress() {
+        return self.address();
+    }
+
     /** Tells whether this entry plans the waiting jobs. */
     public boolean plansHere(long nowMs) {
         return planner(nowMs).equals(self.address());
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Board.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Board.java
@@ -55,6 +55,13 @@
         return requests;
     }
 
+    /** Returns the lowest configuration version among the live agents homed here. */
+    long lowestAgentVersion(long nowMs) {
+        String self = entries.selfAddress();
+        return agentVersions.lowestAgent(
+                id -> targets.usable(id, nowMs) && entries.homeOf(id, nowMs).equals(self));
+    }
+
     /** Returns the monotonic time at which this process started. */
     long startedMs() {
         return startedMs;
