--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
@@ -9,7 +9,6 @@
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
-
 import io.pollenreach.Clock;
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.rpc.Rpc;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/LeaseKeeper.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/LeaseKeeper.java
@@ -32,8 +32,7 @@
     private CompletableFuture<?> renewing = CompletableFuture.completedFuture(null);
     private CompletableFuture<?> polling = CompletableFuture.completedFuture(null);
 
-    LeaseKeeper(
-            PartTable table, PartStopper stopper, TaskRuntime runtime, FailureWindow failures, Clock clock) {
+    LeaseKeeper(PartTable table, PartStopper stopper, TaskRuntime runtime, FailureWindow failures, Clock clock) {
         this.table = table;
         this.stopper = stopper;
         this.runtime = runtime;
@@ -104,8 +103,7 @@
 
     /** Stops tasks that no part stands for, such as one whose creation arrived after it was given up. */
     private void stopStrangers(List<TaskStatus> tasks) {
-        Set<String> ours =
-                table.list(HeldPart::live).stream().map(p -> p.task).collect(Collectors.toSet());
+        Set<String> ours = table.list(HeldPart::live).stream().map(p -> p.task).collect(Collectors.toSet());
         for (TaskStatus status : tasks) {
             if (!status.state().ended() && !ours.contains(status.id())) {
                 EVENTS.warn("stranger-stopped", "task", status.id());
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/PartTable.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/PartTable.java
@@ -193,7 +193,8 @@
      */
     synchronized List<HeldPart> fence(AttemptId id) {
         boolean rival = parts.values().stream()
-                .anyMatch(p -> p.live() && sameNumber(p.key.id(), id) && !p.key.id().equals(id));
+                .anyMatch(p ->
+                        p.live() && sameNumber(p.key.id(), id) && !p.key.id().equals(id));
         fences.stop(id.job(), rival ? id.attempt() - 1 : id.attempt());
         return list(p -> p.live() && (p.key.id().equals(id) || isOlder(p.key.id(), id)));
     }
@@ -254,8 +255,9 @@
 
     @Override
     public synchronized void forget(long reportedVersion, List<AttemptId> settled) {
-        parts.values().removeIf(p -> !p.live()
-                && (p.settleable ? settled.contains(p.key.id()) : p.version <= reportedVersion));
+        parts.values()
+                .removeIf(
+                        p -> !p.live() && (p.settleable ? settled.contains(p.key.id()) : p.version <= reportedVersion));
     }
 
     private void touch(HeldPart part) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerCalls.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerCalls.java
@@ -14,6 +14,5 @@
 @FunctionalInterface
 interface RunnerCalls {
     /** Sends a call; fails with {@code PEER_UNREACHABLE} only when surely nothing was sent. */
-    CompletableFuture<HttpReply> call(
-            String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMs);
+    CompletableFuture<HttpReply> call(String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMs);
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerGuard.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerGuard.java
@@ -165,8 +165,7 @@
             String detail = ResultCode.ANSWER_CUT + ": the answer names request '" + r.requestId() + "'";
             return without(request.key, Outcome.UNKNOWN, detail);
         }
-        return new Executed(
-                e.requestId(), e.workspace(), Outcome.ANSWERED, r.status(), r.contentType(), r.body(), "");
+        return new Executed(e.requestId(), e.workspace(), Outcome.ANSWERED, r.status(), r.contentType(), r.body(), "");
     }
 
     private static Executed failed(Running request, Throwable t) {
