--- a/bench/src/main/java/io/pollenreach/bench/experiment/Experiment.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/Experiment.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * Runs every policy over the same workloads, scenarios and seeds.
@@ -23,49 +24,39 @@
         List<Row> rows = new ArrayList<>();
         for (Scenario s : Scenario.values()) {
             for (Demand d : Demand.values()) {
-                for (PolicyVersion v : versions) {
-                    List<Figures> figures = new ArrayList<>();
-                    seeds.forEach(seed -> figures.add(d.run(w, v, seed, s.lostShare())));
-                    rows.add(new Row(w.name(), s, d, v, figures));
+                if (d.meets(s)) {
+                    versions.forEach(v -> rows.add(new Row(w.name(), s, d, v, runSeeds(w, s, d, v))));
                 }
             }
         }
         return rows;
     }
 
-    /** What fails during a trial. */
-    enum Scenario {
-        WHOLE(0),
-        LOST(0.3);
-
-        private final double lostShare;
-
-        Scenario(double lostShare) {
-            this.lostShare = lostShare;
-        }
-
-        /** Returns the share of runners or workers that fail when the first crest starts. */
-        double lostShare() {
-            return lostShare;
-        }
+    private List<Figures> runSeeds(Workload w, Scenario s, Demand d, PolicyVersion v) {
+        return seeds.parallelStream().map(seed -> d.run(w, v, seed, s)).collect(Collectors.toList());
     }
 
     /** Which demand a trial runs. */
     enum Demand {
         REQUESTS {
             @Override
-            Figures run(Workload w, PolicyVersion v, long seed, double lostShare) {
-                return new RequestTrial(w, v, seed).run(seed, lostShare);
+            Figures run(Workload w, PolicyVersion v, long seed, Scenario s) {
+                return new RequestTrial(w, v, seed).run(seed, s.lostShare());
             }
         },
         JOBS {
             @Override
-            Figures run(Workload w, PolicyVersion v, long seed, double lostShare) {
-                return new JobTrial(w, v, seed).run(lostShare);
+            Figures run(Workload w, PolicyVersion v, long seed, Scenario s) {
+                return new JobTrial(w, v, seed, s).run();
             }
         };
 
-        abstract Figures run(Workload w, PolicyVersion v, long seed, double lostShare);
+        abstract Figures run(Workload w, PolicyVersion v, long seed, Scenario s);
+
+        /** Tells whether this demand feels what the scenario breaks. */
+        boolean meets(Scenario s) {
+            return this == JOBS || s.failingWorkers() == 0;
+        }
 
         /** Tells whether a measure says something about this demand. */
         boolean measures(Measure m) {
--- a/bench/src/main/java/io/pollenreach/bench/experiment/JobTrial.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/JobTrial.java
@@ -41,6 +41,7 @@
     private final Workload workload;
     private final Placer placer;
     private final long seed;
+    private final Scenario scenario;
     private final EventLoop loop = new EventLoop();
     private final Map<String, SimWorker> workers = new LinkedHashMap<>();
     private final Map<String, Workspace> workspaces;
@@ -50,23 +51,20 @@
     private boolean planned;
     private long rounds;
 
-    JobTrial(Workload workload, PolicyVersion version, long seed) {
+    JobTrial(Workload workload, PolicyVersion version, long seed, Scenario scenario) {
+        this.scenario = scenario;
         this.workload = workload;
         this.placer = version.placer();
         this.seed = seed;
         this.workspaces = workload.workspaces().stream().collect(Collectors.toMap(Workspace::name, w -> w));
         for (int i = 0; i < workload.workers().count(); i++) {
-            SimWorker w = new SimWorker(i, workload);
+            SimWorker w = new SimWorker(i, workload, i < scenario.failingWorkers());
             workers.put(w.id, w);
         }
     }
 
-    /**
-     * Runs the trial.
-     *
-     * @param lostShare the share of workers that fail when the first crest starts: a whole rack first
-     */
-    Figures run(double lostShare) {
+    /** Runs the trial. */
+    Figures run() {
         double endMs = workload.jobs().durationMs() * DRAIN_FACTOR;
         Job.all(workload, seed).forEach(j -> loop.after(j.sentMs, () -> submit(j)));
         for (double t = SAMPLE_MS; t < workload.jobs().durationMs(); t += SAMPLE_MS) {
@@ -75,8 +73,8 @@
         for (double t = IDLE_TICK_MS; t < endMs; t += IDLE_TICK_MS) {
             loop.after(t, this::plan);
         }
-        if (lostShare > 0) {
-            loop.after(workload.jobs().crests().firstMs(), () -> lose(lostShare));
+        if (scenario.lostShare() > 0) {
+            loop.after(workload.jobs().crests().firstMs(), this::lose);
         }
         loop.runUntil(endMs);
         waiting.forEach(j -> abandon(j, endMs));
@@ -236,9 +234,9 @@
         }
     }
 
-    private void lose(double share) {
+    private void lose() {
         Draws draws = new Draws(seed, "lost workers");
-        int count = (int) Math.ceil(share * workers.size());
+        int count = (int) Math.ceil(scenario.lostShare() * workers.size());
         int perRack = workload.workers().perRack();
         List<SimWorker> order = new ArrayList<>(workers.values());
         int first = perRack * draws.below(order.size() / perRack);
--- a/bench/src/main/java/io/pollenreach/bench/experiment/SimWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/SimWorker.java
@@ -29,12 +29,12 @@
     private boolean alive = true;
     private boolean usable = true;
 
-    SimWorker(int index, Workload w) {
+    SimWorker(int index, Workload w, boolean failing) {
         int rackNumber = index / w.workers().perRack();
         this.id = "worker-" + index;
         this.rack = "rack-" + rackNumber;
         this.zone = w.zones().get(rackNumber % w.zones().size());
-        this.failing = index < w.workers().failing();
+        this.failing = failing;
         this.accelerators = w.workers().accelerators();
         this.checkpointEveryMs = w.jobs().checkpointEveryMs();
     }
--- a/bench/src/main/java/io/pollenreach/bench/experiment/Workload.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/Workload.java
@@ -152,9 +152,8 @@
      * @param count how many
      * @param accelerators how many each has
      * @param perRack how many stand in a rack
-     * @param failing how many fail everything they start
      */
-    record Workers(int count, int accelerators, int perRack, int failing) {}
+    record Workers(int count, int accelerators, int perRack) {}
 
     /**
      * The demand of jobs.
--- a/core/src/main/java/io/pollenreach/internal/routing/LoadRouter.java
+++ b/core/src/main/java/io/pollenreach/internal/routing/LoadRouter.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -59,7 +58,7 @@
             return new Route(Optional.empty(), "no room;" + rejected);
         }
         RunnerView best = best(zone, from, new Random(seed));
-        String reason = String.format(Locale.ROOT, "expected %.1f ms;", expectedMs(zone, best));
+        String reason = "expected " + Math.round(expectedMs(zone, best)) + " ms;";
         return new Route(Optional.of(best), reason + rejected);
     }
 
