--- a/bench/src/main/java/io/pollenreach/bench/experiment/Experiment.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/Experiment.java
@@ -1,7 +1,9 @@
 package io.pollenreach.bench.experiment;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -51,6 +53,9 @@
             }
         };
 
+        private static final Set<Measure> JOBS_ONLY = EnumSet.of(
+                Measure.FRAGMENTATION, Measure.GANG_STARVED, Measure.IDLE_WHILE_WAITING, Measure.GANG_WAIT_P99);
+
         abstract Figures run(Workload w, PolicyVersion v, long seed, Scenario s);
 
         /** Tells whether this demand feels what the scenario breaks. */
@@ -60,8 +65,7 @@
 
         /** Tells whether a measure says something about this demand. */
         boolean measures(Measure m) {
-            boolean jobsOnly =
-                    m == Measure.FRAGMENTATION || m == Measure.IDLE_WHILE_WAITING || m == Measure.GANG_WAIT_P99;
+            boolean jobsOnly = JOBS_ONLY.contains(m);
             return this == JOBS || !jobsOnly;
         }
     }
--- a/bench/src/main/java/io/pollenreach/bench/experiment/Figures.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/Figures.java
@@ -1,5 +1,6 @@
 package io.pollenreach.bench.experiment;
 
+import io.pollenreach.internal.placement.Fragmentation;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -18,7 +19,9 @@
     final Histogram gangWait = new Histogram(HIGHEST, DIGITS);
     private long crestInTime;
     private long crestAll;
-    private double fragmentation;
+    private long free;
+    private long unreachable;
+    private long starved;
     private double idleWhileWaiting;
     private long samples;
     private long unfinished;
@@ -37,10 +40,18 @@
         crestInTime += inTime ? 1 : 0;
     }
 
-    /** Records the free room at one moment. */
-    void room(double ratio, double idleShare) {
-        fragmentation += ratio;
+    /**
+     * Records the free room at one moment.
+     *
+     * @param f the free room
+     * @param idleShare the share of all accelerators that are free while jobs wait
+     * @param gangStarved whether a gang waits that the free accelerators would hold if they were adjacent
+     */
+    void room(Fragmentation f, double idleShare, boolean gangStarved) {
+        free += f.freeAccelerators();
+        unreachable += f.freeAccelerators() - f.largestGang();
         idleWhileWaiting += idleShare;
+        starved += gangStarved ? 1 : 0;
         samples++;
     }
 
@@ -59,7 +70,9 @@
             case BLOCKING_P99:
                 return blocking.getValueAtPercentile(99) / HUNDRED;
             case FRAGMENTATION:
-                return samples == 0 ? 0 : HUNDRED * fragmentation / samples;
+                return free == 0 ? 0 : HUNDRED * unreachable / free;
+            case GANG_STARVED:
+                return samples == 0 ? 0 : HUNDRED * starved / samples;
             case IDLE_WHILE_WAITING:
                 return samples == 0 ? 0 : HUNDRED * idleWhileWaiting / samples;
             case GANG_WAIT_P99:
--- a/bench/src/main/java/io/pollenreach/bench/experiment/JobTrial.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/JobTrial.java
@@ -31,6 +31,9 @@
     private static final double TICK_MS = 200;
     private static final double IDLE_TICK_MS = 10_000;
     private static final double SAMPLE_MS = 5_000;
+    /** How long a job waits before it counts as held up. */
+    private static final double SETTLE_MS = 2_000;
+
     private static final double START_MS = 300;
     private static final double STOP_MS = 500;
     private static final double SILENCE_MS = 3_000;
@@ -264,6 +267,21 @@
         Fragmentation f = Fragmentation.of(
                 workerViews(), Adjacency.RACK, workload.workers().accelerators());
         int all = workload.workers().count() * workload.workers().accelerators();
-        figures.room(f.ratio(), waiting.isEmpty() ? 0 : (double) f.freeAccelerators() / all);
+        boolean starved = waiting.stream().anyMatch(j -> starved(j, f.freeAccelerators()));
+        figures.room(f, waiting.isEmpty() ? 0 : (double) f.freeAccelerators() / all, starved);
+    }
+
+    /** Tells whether a gang has waited for a while that the free accelerators would hold, and its workspace may use. */
+    private boolean starved(Job j, int free) {
+        String workspace = j.spec.workspace();
+        int used = placed.values().stream()
+                .filter(p -> p.spec.workspace().equals(workspace))
+                .mapToInt(p -> p.spec.shape().accelerators())
+                .sum();
+        int needed = j.spec.shape().accelerators();
+        return j.spec.shape().parts() > 1
+                && loop.now() - j.waitingSinceMs > SETTLE_MS
+                && needed <= free
+                && used + needed <= workspaces.get(workspace).maxAccelerators();
     }
 }
--- a/bench/src/main/java/io/pollenreach/bench/experiment/Measure.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/Measure.java
@@ -6,7 +6,8 @@
     COMPLETION_P99("completion p99", "ms", false),
     CREST("in time at the crest", "%", true),
     BLOCKING_P99("short work's wait p99", "x own length", false),
-    FRAGMENTATION("free room the largest rack-adjacent gang can't use", "%", false),
+    FRAGMENTATION("free accelerators beyond the largest rack-adjacent gang", "%", false),
+    GANG_STARVED("time that a gang waits though enough accelerators are free", "%", false),
     IDLE_WHILE_WAITING("accelerators idle while jobs wait", "%", false),
     GANG_WAIT_P99("wait of gangs p99", "ms", false),
     UNFINISHED("without a result", "count", false);
