--- a/bench/src/main/java/io/pollenreach/bench/experiment/ExperimentCommand.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/ExperimentCommand.java
@@ -1,5 +1,8 @@
 package io.pollenreach.bench.experiment;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -10,6 +13,8 @@
 /** Compares the policies over the workloads in virtual time and prints the measures. Not safe for use by many threads. */
 @Command(name = "experiment", description = "Compares routing and placement policies in virtual time")
 public final class ExperimentCommand implements Runnable {
+    private static final String VERSION = "0.1.0";
+
     @Option(name = "--seed", description = "First seed")
     private long seed = 1;
 
@@ -22,6 +27,9 @@
     @Option(name = "--policy", description = "A policy by name; all when absent")
     private List<String> policies = new ArrayList<>();
 
+    @Option(name = "--html", description = "A file for the report with plots")
+    private String html = "";
+
     @Override
     public void run() {
         List<Long> list = new ArrayList<>();
@@ -36,7 +44,21 @@
         for (String w : workloads.isEmpty() ? List.of("retorno", "cascade") : workloads) {
             rows.addAll(experiment.run(w));
         }
-        System.out.println("seeds " + list + "; mean over the seeds [lowest-highest]");
+        String title = "pollenreach " + VERSION + ", seeds " + list + ", mean over the seeds [lowest-highest]";
+        System.out.println(title);
         TableReport.print(rows, System.out);
+        writeHtml(title, rows);
+    }
+
+    private void writeHtml(String title, List<Experiment.Row> rows) {
+        if (html.isEmpty()) {
+            return;
+        }
+        System.setProperty("java.awt.headless", "true");
+        try {
+            HtmlReport.write(title, rows, Path.of(html));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 }
