--- a/bench/src/main/java/io/pollenreach/bench/experiment/JobTrial.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/JobTrial.java
@@ -31,6 +31,9 @@
     private static final double TICK_MS = 200;
     private static final double IDLE_TICK_MS = 10_000;
     private static final double SAMPLE_MS = 5_000;
+    /** How long a job waits before it counts as held up. */
+    private static final double SETTLE_MS = 2_000;
+
     private static final double START_MS = 300;
     private static final double STOP_MS = 500;
     private static final double SILENCE_MS = 3_000;
@@ -41,6 +44,7 @@
     private final Workload workload;
     private final Placer placer;
     private final long seed;
+    private final Scenario scenario;
     private final EventLoop loop = new EventLoop();
     private final Map<String, SimWorker> workers = new LinkedHashMap<>();
     private final Map<String, Workspace> workspaces;
@@ -50,23 +54,20 @@
     private boolean planned;
     private long rounds;
 
-    JobTrial(Workload workload, PolicyVersion version, long seed) {
+    JobTrial(Workload workload, PolicyVersion version, long seed, Scenario scenario) {
+        this.scenario = scenario;
         this.workload = workload;
         this.placer = version.placer();
         this.seed = seed;
         this.workspaces = workload.workspaces().stream().collect(Collectors.toMap(Workspace::name, w -> w));
         for (int i = 0; i < workload.workers().count(); i++) {
-            SimWorker w = new SimWorker(i, workload);
+            SimWorker w = new SimWorker(i, workload, i < scenario.failingWorkers());
             workers.put(w.id, w);
         }
     }
 
-    /**
-     * Runs the trial.
-     *
-     * @param lostShare the share of workers that fail when the first crest starts: a whole rack first
-     */
-    Figures run(double lostShare) {
+    /** Runs the trial. */
+    Figures run() {
         double endMs = workload.jobs().durationMs() * DRAIN_FACTOR;
         Job.all(workload, seed).forEach(j -> loop.after(j.sentMs, () -> submit(j)));
         for (double t = SAMPLE_MS; t < workload.jobs().durationMs(); t += SAMPLE_MS) {
@@ -75,8 +76,8 @@
         for (double t = IDLE_TICK_MS; t < endMs; t += IDLE_TICK_MS) {
             loop.after(t, this::plan);
         }
-        if (lostShare > 0) {
-            loop.after(workload.jobs().crests().firstMs(), () -> lose(lostShare));
+        if (scenario.lostShare() > 0) {
+            loop.after(workload.jobs().crests().firstMs(), this::lose);
         }
         loop.runUntil(endMs);
         waiting.forEach(j -> abandon(j, endMs));
@@ -236,9 +237,9 @@
         }
     }
 
-    private void lose(double share) {
+    private void lose() {
         Draws draws = new Draws(seed, "lost workers");
-        int count = (int) Math.ceil(share * workers.size());
+        int count = (int) Math.ceil(scenario.lostShare() * workers.size());
         int perRack = workload.workers().perRack();
         List<SimWorker> order = new ArrayList<>(workers.values());
         int first = perRack * draws.below(order.size() / perRack);
@@ -266,6 +267,21 @@
         Fragmentation f = Fragmentation.of(
                 workerViews(), Adjacency.RACK, workload.workers().accelerators());
         int all = workload.workers().count() * workload.workers().accelerators();
-        figures.room(f.ratio(), waiting.isEmpty() ? 0 : (double) f.freeAccelerators() / all);
+        boolean starved = waiting.stream().anyMatch(j -> starved(j, f.freeAccelerators()));
+        figures.room(f, waiting.isEmpty() ? 0 : (double) f.freeAccelerators() / all, starved);
+    }
+
+    /** Tells whether a gang has waited for a while that the free accelerators would hold, and its workspace may use. */
+    private boolean starved(Job j, int free) {
+        String workspace = j.spec.workspace();
+        int used = placed.values().stream()
+                .filter(p -> p.spec.workspace().equals(workspace))
+                .mapToInt(p -> p.spec.shape().accelerators())
+                .sum();
+        int needed = j.spec.shape().accelerators();
+        return j.spec.shape().parts() > 1
+                && loop.now() - j.waitingSinceMs > SETTLE_MS
+                && needed <= free
+                && used + needed <= workspaces.get(workspace).maxAccelerators();
     }
 }
