Give up parts whose lease was not confirmed in time

Ruled out: the bound of the leader (all parts were heard). Change: a part whose last confirmed renewal was sent longer ago than the lease is stopped, in the same step that runs before renewals.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HeldPart.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HeldPart.java
@@ -39,6 +39,8 @@
     volatile CompletableFuture<Void> starting;
     volatile long expiresMs;
     volatile long startedMs;
+    /** When the last renewal that the runtime confirmed was sent. */
+    volatile long leasedMs;
     /** When the lease was last possibly renewed. */
     volatile long renewedMs;
     /** When a stopping task is to be killed. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/LeaseKeeper.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/LeaseKeeper.java
@@ -16,7 +16,8 @@
 /**
  * Renews the leases of live tasks, all in one call, and learns from the runtime which tasks ended.
  *
- * <p>Invariant: a task whose grace is over is not renewed any more. {@link #renew} and {@link #poll} are called from one
+ * <p>Invariants: a task whose grace is over is not renewed any more; a part whose lease may have lapsed is given up, so
+ * that its gang learns of it. {@link #renew} and {@link #poll} are called from one
  * thread; answers come on any.
  */
 final class LeaseKeeper {
@@ -49,19 +50,31 @@
         }
         live.forEach(p -> p.renewedMs = nowMs);
         List<String> tasks = live.stream().map(p -> p.task).toList();
-        renewing = runtime.renew(tasks, AgentTimes.TASK_LEASE_MS).whenComplete((v, t) -> renewed(live, t));
+        renewing = runtime.renew(tasks, AgentTimes.TASK_LEASE_MS).whenComplete((v, t) -> renewed(live, nowMs, t));
     }
 
     private static boolean killing(HeldPart part, long nowMs) {
         return part.state == PartState.STOPPING && nowMs >= part.killAtMs;
     }
 
-    private void renewed(List<HeldPart> parts, Throwable t) {
+    private void renewed(List<HeldPart> parts, long sentMs, Throwable t) {
         // The runtime may have taken the renewal at any moment until now, also when the answer was lost.
         long nowMs = clock.nowMs();
         parts.forEach(p -> p.renewedMs = nowMs);
         if (t != null) {
             EVENTS.warn("renew-failed", "tasks", parts.size(), "why", t.getMessage());
+            return;
+        }
+        parts.forEach(p -> p.leasedMs = sentMs);
+    }
+
+    /** Gives up the parts whose lease may have lapsed, because the runtime or this process was silent. */
+    void dropLapsed() {
+        long nowMs = clock.nowMs();
+        for (HeldPart part : table.list(p -> p.live() && p.created && p.state != PartState.STOPPING)) {
+            if (nowMs - part.leasedMs > AgentTimes.TASK_LEASE_MS) {
+                stopper.stop(part, 0, "its lease was not renewed for " + (nowMs - part.leasedMs) + " ms");
+            }
         }
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
@@ -92,6 +92,7 @@
         }
         long nowMs = clock.nowMs();
         stopWhenCutOff();
+        leases.dropLapsed();
         gangs.enforce();
         stopper.tick();
         if (nowMs >= nextBeatMs) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerGuard.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerGuard.java
@@ -138,6 +138,7 @@
             part.created = true;
             part.settleable = true;
             part.gang = p.gang();
+            part.leasedMs = clock.nowMs();
             part.renewedMs = clock.nowMs();
         });
         if (part.preparing == null) {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/agent/GangGuardTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/agent/GangGuardTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.platform.TaskStatus.State;
 import io.pollenreach.internal.gang.GangTimes;
 import io.pollenreach.internal.wire.AttemptId;
@@ -78,16 +79,35 @@
     }
 
     @Test
-    void frozenAgentDoesNotGoOnWithAnAttemptThatWasFencedMeanwhile() {
+    void pausedAgentStartsNothingThatWaitedInItsBuffers() {
         AttemptId alone = Workers.id("shop-b/scan", 1);
-        workers.runGang(alone, 8, List.of("w2"));
-        workers.runtimes.get("w2").unresponsive = true;
-        workers.frozen.add("w2");
-        workers.run(500);
-        workers.stop("w2", alone, 0, 0);
-        workers.frozen.clear();
-        workers.run(AgentTimes.TICK_MS);
-        assertThat(workers.runtimes.get("w2").inUse()).isZero();
+        workers.reserve("w2", alone, 0, 8).join();
+        // The entry gave the attempt up while the agent was paused; its calls are delivered before any round runs.
+        workers.clock.advanceMs(10_000);
+        assertThat(Workers.codeOf(workers.prepare("w2", alone, 0, List.of("w2"))))
+                .isNotEqualTo(ResultCode.OK);
+        assertThat(Workers.codeOf(workers.send("w2", new Release(alone, 0)))).isNotEqualTo(ResultCode.OK);
+        assertThat(workers.runtimes.get("w2").log).isEmpty();
+    }
+
+    @Test
+    void pausedAgentDoesNotReleaseAPartThatItPreparedLongAgo() {
+        AttemptId alone = Workers.id("shop-b/scan", 1);
+        workers.reserve("w2", alone, 0, 8).join();
+        workers.prepare("w2", alone, 0, List.of("w2")).join();
+        workers.clock.advanceMs(GangTimes.PREPARED_TTL_MS + 1);
+        workers.runtimes.get("w2").log.clear();
+        assertThat(Workers.codeOf(workers.send("w2", new Release(alone, 0)))).isEqualTo(ResultCode.STALE_ATTEMPT);
+        assertThat(workers.runtimes.get("w2").log).containsExactly("stop shop-b.scan.1.0 0");
+    }
+
+    @Test
+    void gangStopsWhenARuntimeTakesNoRenewals() {
+        workers.runGang(CUT, 8, GANG);
+        workers.run(3_000);
+        workers.runtimes.get("w2").silent = true;
+        workers.run(AgentTimes.TASK_LEASE_MS + AgentTimes.RENEW_MS + BOUND_MS);
+        assertThat(running()).isZero();
     }
 
     @Test
