Bind the runner's memory of requests to incarnations

Cause: a claim is resolved by asking its agent, and NEVER_SEEN makes the entry send the request. An agent that forgot answers after 10 minutes would have said so of a credit that ran, and run it again; and the tombstone that an inquiry left refused requests whose first copy was still on its way. Change: an agent that forgets begins a new incarnation, holds two, and answers UNKNOWN for older or foreign ones without starting anything. Also: a heartbeat that an entry refuses for lack of the whole list is repeated there at once, and a drain by the configuration is announced.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
@@ -60,7 +60,7 @@
         CompletableFuture<TargetAgent> later = new CompletableFuture<>();
         rpc = RpcNode.start(settings.rpcAddress(), m -> handle(later, m), clock, RPC_THREADS);
         target = target(clock);
-        home = new HomeLink(settings, rpc.address(), rpc, clock, timer, target.parts(), target::load);
+        home = new HomeLink(settings, rpc.address(), rpc, clock, timer, target);
         target.join(home);
         later.complete(target);
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
@@ -6,16 +6,16 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.rpc.Rpc;
 import io.pollenreach.daemon.internal.settings.AgentSettings;
 import io.pollenreach.internal.wire.Heartbeat;
 import io.pollenreach.internal.wire.HeartbeatReply;
-import io.pollenreach.internal.wire.Load;
 import io.pollenreach.internal.wire.TargetInfo;
 
 /**
@@ -36,14 +36,13 @@
     private final Rpc rpc;
     private final Clock clock;
     private final Executor executor;
-    private final PartReporter parts;
-    private final Supplier<Load> load;
-    private final long incarnation;
+    private final TargetAgent target;
 
     private boolean inFlight;
     private boolean again;
     private boolean whole = true;
     private boolean draining;
+    private boolean toldToDrain;
     private boolean left;
     private int failures;
     private long sequence;
@@ -57,22 +56,13 @@
 
     private record Beat(String to, Heartbeat message, long partsVersion, long sentMs) {}
 
-    HomeLink(
-            AgentSettings settings,
-            String address,
-            Rpc rpc,
-            Clock clock,
-            Executor executor,
-            PartReporter parts,
-            Supplier<Load> load) {
+    HomeLink(AgentSettings settings, String address, Rpc rpc, Clock clock, Executor executor, TargetAgent target) {
         this.settings = settings;
         this.address = address;
         this.rpc = rpc;
         this.clock = clock;
         this.executor = executor;
-        this.parts = parts;
-        this.load = load;
-        incarnation = clock.wallMs();
+        this.target = target;
         answeredMs = clock.nowMs();
     }
 
@@ -103,10 +93,10 @@
 
     private Beat next(boolean leaving) {
         sequence++;
-        PartChanges changes = parts.changes(reportedVersion, whole);
+        PartChanges changes = target.parts().changes(reportedVersion, whole);
         TargetInfo info = new TargetInfo(
                 settings.id(),
-                incarnation,
+                target.incarnation(),
                 sequence,
                 settings.kind(),
                 settings.service(),
@@ -115,8 +105,8 @@
                 address,
                 settings.accelerators(),
                 settings.slots(),
-                load.get(),
-                draining);
+                target.load(),
+                draining || toldToDrain);
         Heartbeat message = new Heartbeat(info, changes.parts(), whole, configVersion, leaving);
         return new Beat(receiver(), message, changes.version(), clock.nowMs());
     }
@@ -169,7 +159,7 @@
             reportedVersion = beat.partsVersion();
             adoptConfig(reply);
         }
-        parts.forget(beat.partsVersion(), reply.settled());
+        target.parts().forget(beat.partsVersion(), reply.settled());
     }
 
     private void adoptConfig(HeartbeatReply reply) {
@@ -179,11 +169,17 @@
         EVENTS.info("config-adopted", "from", configVersion, "to", reply.configVersion());
         configVersion = reply.configVersion();
         config = reply.config();
+        toldToDrain = config.path("draining").asBoolean(false);
     }
 
     private synchronized void fail(Beat beat, Throwable t) {
-        failures++;
         whole = true;
+        if (PollenreachException.of(t).code() == ResultCode.UNKNOWN_PART) {
+            // The entry lives but has no whole list to apply the changes to.
+            again = true;
+            return;
+        }
+        failures++;
         EVENTS.warn("heartbeat-failed", "to", beat.to(), "failures", failures, "why", t.getMessage());
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerAgent.java
@@ -20,7 +20,7 @@
     private final RunnerGuard guard;
 
     RunnerAgent(AgentSettings settings, RunnerCalls calls, Clock clock) {
-        guard = new RunnerGuard(settings, calls, clock, new FailureWindow(clock), clock.wallMs());
+        guard = new RunnerGuard(settings, calls, clock, new FailureWindow(clock));
     }
 
     @Override
@@ -49,6 +49,11 @@
         return guard.load();
     }
 
+    @Override
+    public long incarnation() {
+        return guard.incarnation();
+    }
+
     @Override
     public PartReporter parts() {
         return PartReporter.NONE;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerGuard.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/RunnerGuard.java
@@ -27,7 +27,8 @@
  * The authority on a runner's slots: admits requests, passes them on and remembers what became of them.
  *
  * <p>Invariants: at most {@code slots} requests are at the runner; a request that is known is never started a second
- * time unless it is idempotent and did not end well; {@code REFUSED} is answered only when the runner saw no byte of the
+ * time unless it is idempotent and did not end well, and one of an incarnation that is no longer remembered is not
+ * started at all; {@code REFUSED} is answered only when the runner saw no byte of the
  * request, and then every later copy within {@link AnswerStore#RETENTION_MS} is refused too. Safe for use by many
  * threads: one lock guards all state; no call is made and no future completed under it.
  */
@@ -36,7 +37,6 @@
     static final long RUN_LIMIT_MS = 600_000;
 
     private static final Events EVENTS = Events.of(RunnerGuard.class);
-    private static final byte[] NO_BODY = new byte[0];
     private static final double SMOOTHING = 0.2;
     private static final int SERVER_ERROR = 500;
 
@@ -44,7 +44,6 @@
     private final RunnerCalls calls;
     private final Clock clock;
     private final FailureWindow failures;
-    private final long incarnation;
     private final AnswerStore answers;
     private final Map<RequestKey, Running> running = new HashMap<>();
     private final Deque<Running> queue = new ArrayDeque<>();
@@ -67,12 +66,11 @@
         }
     }
 
-    RunnerGuard(AgentSettings settings, RunnerCalls calls, Clock clock, FailureWindow failures, long incarnation) {
+    RunnerGuard(AgentSettings settings, RunnerCalls calls, Clock clock, FailureWindow failures) {
         this.settings = settings;
         this.calls = calls;
         this.clock = clock;
         this.failures = failures;
-        this.incarnation = incarnation;
         this.answers = new AnswerStore(clock);
     }
 
@@ -90,6 +88,9 @@
             if (answer.isPresent()) {
                 return CompletableFuture.completedFuture(answer.get());
             }
+            if (!answers.holds(e.targetIncarnation())) {
+                return CompletableFuture.completedFuture(forgotten(key, e.targetIncarnation()));
+            }
             Optional<String> refusal = refusal();
             if (refusal.isPresent()) {
                 return CompletableFuture.completedFuture(refuse(key, e.idempotent(), refusal.get()));
@@ -109,6 +110,10 @@
         return request.future;
     }
 
+    private static Executed forgotten(RequestKey key, long incarnation) {
+        return without(key, Outcome.UNKNOWN, "requests of incarnation " + incarnation + " are no longer known");
+    }
+
     private static boolean isFinal(Execute e, Executed answer) {
         if (!e.idempotent() || answer.outcome() == Outcome.REFUSED) {
             return true;
@@ -134,7 +139,7 @@
     }
 
     private static Executed without(RequestKey key, Outcome outcome, String detail) {
-        return new Executed(key.id(), key.workspace(), outcome, 0, "", NO_BODY, detail);
+        return new Executed(key.id(), key.workspace(), outcome, 0, "", AnswerStore.NO_BODY, detail);
     }
 
     private void start(Running request) {
@@ -149,7 +154,7 @@
         CompletableFuture<HttpReply> reply;
         try {
             URI uri = uri(e.path());
-            byte[] body = e.body() == null ? NO_BODY : e.body();
+            byte[] body = e.body() == null ? AnswerStore.NO_BODY : e.body();
             reply = calls.call(e.method(), uri, headers, body, RUN_LIMIT_MS);
         } catch (IllegalArgumentException bad) {
             PollenreachException refused =
@@ -246,7 +251,11 @@
         return draining && running.isEmpty();
     }
 
-    /** Tells what became of a request; one that was never seen will be refused when it comes after all. */
+    /**
+     * Tells what became of a request.
+     *
+     * <p>{@code NEVER_SEEN} promises nothing about copies that are still on their way; they run once.
+     */
     synchronized CompletableFuture<Message> inquire(Inquire i) {
         RequestKey key = new RequestKey(i.workspace(), i.requestId());
         if (running.containsKey(key)) {
@@ -256,8 +265,11 @@
         if (answer.isPresent()) {
             return CompletableFuture.completedFuture(answer.get());
         }
-        refuse(key, false, "it was inquired about before it came");
-        return CompletableFuture.completedFuture(without(key, Outcome.NEVER_SEEN, "incarnation=" + incarnation));
+        if (!answers.holds(i.targetIncarnation())) {
+            return CompletableFuture.completedFuture(forgotten(key, i.targetIncarnation()));
+        }
+        String detail = "incarnation=" + answers.incarnation();
+        return CompletableFuture.completedFuture(without(key, Outcome.NEVER_SEEN, detail));
     }
 
     /** Refuses new requests from now on; completes when those in flight, queued ones included, are answered. */
@@ -269,6 +281,11 @@
         return drained;
     }
 
+    /** Returns the incarnation to announce; it grows whenever older requests are forgotten. */
+    synchronized long incarnation() {
+        return answers.incarnation();
+    }
+
     synchronized Load load() {
         return new Load(inUse, queue.size(), meanServiceMs, failures.count());
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/TargetAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/TargetAgent.java
@@ -23,6 +23,9 @@
     /** Returns how busy the target is. */
     Load load();
 
+    /** Returns the incarnation to announce, which grows with each start and whenever the agent has forgotten requests. */
+    long incarnation();
+
     /** Returns what heartbeats tell about parts. */
     PartReporter parts();
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
@@ -21,10 +21,11 @@
  * <p>Invariant: in every round parts that must stop are stopped before leases are renewed. {@link #tick()} is called from
  * one thread, everything else from any.
  */
-public final class WorkerAgent implements TargetAgent {
+final class WorkerAgent implements TargetAgent {
     private static final Events EVENTS = Events.of(WorkerAgent.class);
 
     private final Clock clock;
+    private final long incarnation;
     private final PartTable table;
     private final PartStopper stopper;
     private final WorkerGuard guard;
@@ -51,8 +52,9 @@
      * @param rpc calls other agents
      * @param clock the clock of all leases
      */
-    public WorkerAgent(String id, int accelerators, TaskRuntime runtime, Rpc rpc, Clock clock) {
+    WorkerAgent(String id, int accelerators, TaskRuntime runtime, Rpc rpc, Clock clock) {
         this.clock = clock;
+        incarnation = clock.wallMs();
         GangMember member = new GangMember(clock);
         GangLeader leader = new GangLeader(clock);
         failures = new FailureWindow(clock);
@@ -151,6 +153,11 @@
         return new Load(table.inUse(), 0, 0, failures.count());
     }
 
+    @Override
+    public long incarnation() {
+        return incarnation;
+    }
+
     @Override
     public PartReporter parts() {
         return table;
