Pass on between entries only what changed about a target

Ruled out: rarer heartbeats, which would delay the notice of a frozen target. Change: a digest holds material changes; at other entries a target lives as long as its home does and has not said that it is gone; only the home may say so. Requests in doubt are counted, so that an expired request that is in flight can't be answered 'not run'; borrowers are stopped only after their rows say so; nothing is placed while the platform is away; calls under way are answered before an entry goes. Conclusion: control traffic between entries follows changes, not heartbeats.

--- a/core/src/main/java/io/pollenreach/internal/wire/TargetInfo.java
+++ b/core/src/main/java/io/pollenreach/internal/wire/TargetInfo.java
@@ -31,6 +31,24 @@
         int slots,
         Load load,
         boolean draining) {
+    /** Tells whether this announcement says more than that the target still lives. */
+    public boolean differsFrom(TargetInfo other) {
+        return !new TargetInfo(
+                        id,
+                        incarnation,
+                        other.sequence,
+                        kind,
+                        service,
+                        zone,
+                        rack,
+                        address,
+                        accelerators,
+                        slots,
+                        load,
+                        draining)
+                .equals(other);
+    }
+
     /** Tells whether this announcement is newer than another of the same target. */
     public boolean newerThan(TargetInfo other) {
         if (incarnation != other.incarnation) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/AgentLink.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/AgentLink.java
@@ -31,12 +31,14 @@
 
     private final Board board;
     private final Clock clock;
-    private final Runnable changed;
+    private final Runnable jobsChanged;
+    private final Runnable runnersChanged;
 
-    AgentLink(Board board, Clock clock, Runnable changed) {
+    AgentLink(Board board, Clock clock, Runnable jobsChanged, Runnable runnersChanged) {
         this.board = board;
         this.clock = clock;
-        this.changed = changed;
+        this.jobsChanged = jobsChanged;
+        this.runnersChanged = runnersChanged;
     }
 
     /** Takes over what an agent announces. */
@@ -51,11 +53,11 @@
     }
 
     private void left(TargetInfo target) {
-        boolean known = board.targets().gone(target.id(), true);
+        boolean known = board.targets().left(target.id(), clock.nowMs());
         board.agentVersions().forget(target.id());
         if (known) {
             EVENTS.info("target-left", "target", target.id(), "zone", target.zone());
-            changed.run();
+            jobsChanged.run();
         }
     }
 
@@ -68,8 +70,10 @@
         }
         board.agentVersions().confirmed(target.id(), beat.configVersion());
         boolean partsChanged = target.kind() == TargetKind.WORKER && takeParts(beat);
-        if (unseen || partsChanged || target.kind() == TargetKind.RUNNER) {
-            changed.run();
+        if (target.kind() == TargetKind.RUNNER) {
+            runnersChanged.run();
+        } else if (unseen || partsChanged) {
+            jobsChanged.run();
         }
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ApiServer.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ApiServer.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.entry;
 
 import java.net.InetAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import com.google.common.net.HostAndPort;
@@ -22,44 +23,63 @@
 final class ApiServer implements AutoCloseable {
     private static final int THREADS = 4;
 
-    private final RatpackServer server;
+    private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean draining;
+    private RatpackServer server;
 
-    private ApiServer(RatpackServer server) {
-        this.server = server;
-    }
+    private ApiServer() {}
 
     /** Starts to serve; {@code resources} adds the paths under {@code v1} that need readiness. */
     static ApiServer start(
             String address, int maxBodyBytes, BooleanSupplier ready, Action<Chain> status, Action<Chain> resources)
             throws Exception {
         HostAndPort at = HostAndPort.fromString(address);
-        RatpackServer server =
-                RatpackServer.start(s -> s.serverConfig(c -> c.address(InetAddress.getByName(at.getHost()))
-                                .port(at.getPort())
-                                .threads(THREADS)
-                                .registerShutdownHook(false)
-                                .development(false)
-                                // Twice the limit, so that the handler can answer with the numbered code.
-                                .maxContentLength(maxBodyBytes * 2))
-                        .registryOf(r -> r.add(ServerErrorHandler.class, ApiServer::serverError)
-                                .add(ClientErrorHandler.class, ApiServer::clientError))
-                        .handlers(chain -> {
-                            status.execute(chain);
-                            chain.prefix("v1", v1 -> {
-                                v1.all(ctx -> requireReady(ctx, ready));
-                                resources.execute(v1);
-                            });
-                        }));
-        return new ApiServer(server);
+        ApiServer api = new ApiServer();
+        api.server = RatpackServer.start(s -> s.serverConfig(c -> c.address(InetAddress.getByName(at.getHost()))
+                        .port(at.getPort())
+                        .threads(THREADS)
+                        .registerShutdownHook(false)
+                        .development(false)
+                        // Twice the limit, so that the handler can answer with the numbered code.
+                        .maxContentLength(maxBodyBytes * 2))
+                .registryOf(r -> r.add(ServerErrorHandler.class, ApiServer::serverError)
+                        .add(ClientErrorHandler.class, ApiServer::clientError))
+                .handlers(chain -> {
+                    status.execute(chain);
+                    chain.prefix("v1", v1 -> {
+                        v1.all(ctx -> api.admit(ctx, ready));
+                        resources.execute(v1);
+                    });
+                }));
+        return api;
     }
 
-    private static void requireReady(Context ctx, BooleanSupplier ready) {
-        if (ready.getAsBoolean()) {
-            ctx.next();
+    private void admit(Context ctx, BooleanSupplier ready) {
+        if (draining) {
+            refuse(ctx, ResultCode.DRAINING, "ask another entry");
+            return;
+        }
+        if (!ready.getAsBoolean()) {
+            refuse(ctx, ResultCode.NOT_READY, "no configuration is known yet");
             return;
         }
-        Reply.failure(new PollenreachException(ResultCode.NOT_READY, "no configuration is known yet"))
-                .send(ctx);
+        open.incrementAndGet();
+        ctx.onClose(o -> open.decrementAndGet());
+        ctx.next();
+    }
+
+    private static void refuse(Context ctx, ResultCode code, String why) {
+        Reply.failure(new PollenreachException(code, why)).send(ctx);
+    }
+
+    /** Refuses new calls from now on; those under way are answered. */
+    void drain() {
+        draining = true;
+    }
+
+    /** Returns how many calls are under way. */
+    int open() {
+        return open.get();
     }
 
     private static void serverError(Context ctx, Throwable t) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ClaimedSender.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ClaimedSender.java
@@ -62,6 +62,7 @@
         CallerRequest r = pending.request();
         Optional<TargetInfo> target = board.targets().find(runner.id());
         if (target.isEmpty()) {
+            pending.unseen();
             return CompletableFuture.completedFuture(Optional.empty());
         }
         ClaimRow row = ClaimRow.create(
@@ -97,7 +98,8 @@
             return later().thenCompose(v -> readBack(run));
         }
         EVENTS.warn("claim-failed", "request", run.mine.key(), "code", e.code().number(), "detail", e.getMessage());
-        // Empty with the deadline used up makes the controller refuse it; the platform must not be waited for.
+        // Closed to retries it is refused at once; the platform must not be waited for.
+        run.pending.unseen();
         run.pending.closeToRetries();
         return CompletableFuture.completedFuture(Optional.empty());
     }
@@ -148,17 +150,10 @@
                 claim.row().targetIncarnation());
         run.sent = true;
         return rpc.call(claim.row().targetAddress(), message, Executed.class, left)
-                .handle((e, t) -> t == null ? outcome(run, claim, e) : notExecuted(run, claim, t))
+                .handle((e, t) -> t == null ? outcome(run, claim, e) : askAgain(run, claim))
                 .thenCompose(f -> f);
     }
 
-    private CompletableFuture<Optional<Answer>> notExecuted(Run run, Claim claim, Throwable t) {
-        if (PollenreachException.of(t).code() != ResultCode.PEER_UNREACHABLE) {
-            run.pending.notePerhapsRun();
-        }
-        return askAgain(run, claim);
-    }
-
     private CompletableFuture<Optional<Answer>> askAgain(Run run, Claim claim) {
         if (!inTime(run)) {
             return failed(ClaimDecision.GIVE_UP_UNKNOWN, claim.row().target() + " did not answer in time");
@@ -167,7 +162,6 @@
     }
 
     private CompletableFuture<Optional<Answer>> inquire(Run run, Claim claim) {
-        run.pending.notePerhapsRun();
         ClaimRow row = claim.row();
         Inquire message = new Inquire(row.requestId(), row.workspace(), row.targetIncarnation());
         return rpc.call(row.targetAddress(), message, Executed.class, INQUIRE_TIMEOUT_MS)
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ClusterViews.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ClusterViews.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import io.pollenreach.Clock;
+import io.pollenreach.JobState;
 import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
 import io.pollenreach.internal.jobs.JobRecord;
 import io.pollenreach.internal.placement.ClusterView;
@@ -72,12 +73,14 @@
             JobRecord job, long wall, Map<String, List<Holding>> holdings, Map<String, PlacedJob> placed) {
         long runningMs = job.startedAtMs() == 0 ? 0 : Math.max(0, wall - job.startedAtMs());
         placed.put(job.spec().key(), new PlacedJob(job.spec(), job.borrowed(), runningMs));
+        // What is being stopped can't be reclaimed a second time.
+        boolean reclaimable = job.borrowed() && job.state() != JobState.STOPPING;
         for (Part p : job.parts()) {
             Holding h = new Holding(
                     job.attemptId(),
                     job.spec().workspace(),
                     p.accelerators(),
-                    job.borrowed(),
+                    reclaimable,
                     job.spec().restartable(),
                     runningMs);
             holdings.computeIfAbsent(p.worker(), w -> new ArrayList<>()).add(h);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -66,7 +66,6 @@
     private final ConfigController config;
     private final JobController jobs;
     private final RequestController requests;
-    private final RequestApi requestApi;
     private final ScheduledExecutorService planning = thread("planning");
     private final ScheduledExecutorService beating = thread("beating");
     private final ScheduledExecutorService timing = thread("timing");
@@ -106,11 +105,11 @@
                 settings.zone(),
                 clock,
                 timing);
-        AgentLink agents = new AgentLink(board, clock, this::changed);
+        AgentLink agents = new AgentLink(board, clock, this::changed, requests::pumpSoon);
         handler = new PeerHandler(board, membership, agents, config, jobs);
         Access access = new Access(board.config(), settings.operatorTokenSha256());
         int maxBody = settings.maxBodyBytes();
-        requestApi = new RequestApi(requests, claimed, access, clock, maxBody);
+        RequestApi requestApi = new RequestApi(requests, claimed, access, clock, maxBody);
         StatusApi status = new StatusApi(board, config, requests, metrics, this::ready, self, clock);
         ConfigApi configApi = new ConfigApi(board, config, access, clock, maxBody);
         JobApi jobApi = new JobApi(board, store, jobs, access, clock, maxBody);
@@ -162,10 +161,6 @@
         if (j != null) {
             j.changed();
         }
-        RequestController r = requests;
-        if (r != null) {
-            timing.execute(r::pump);
-        }
     }
 
     private void schedule() {
@@ -181,7 +176,7 @@
     private void beat() {
         board.entries().learn(settings.peers(), clock.nowMs());
         membership.beat();
-        board.targets().forgetSilent(clock.nowMs());
+        board.targets().sweep(clock.nowMs());
     }
 
     /** Pulls the peers' tombstones once they have this entry in their views; only then may it serve. */
@@ -234,14 +229,15 @@
 
     @Override
     public void close() throws Exception {
-        EVENTS.info("entry-draining", "entry", settings.id(), "open", requestApi.open());
+        EVENTS.info("entry-draining", "entry", settings.id(), "open", api.open());
         membership.drain();
-        requestApi.drain();
+        api.drain();
+        board.jobs().wakeAll();
         long deadline = clock.nowMs() + settings.drainTimeoutMs();
-        while (requestApi.open() > 0 && clock.nowMs() < deadline) {
+        while (api.open() > 0 && clock.nowMs() < deadline) {
             Thread.sleep(DRAIN_CHECK_MS);
         }
-        int cut = requestApi.open();
+        int cut = api.open();
         Thread.sleep(LEAVE_MS);
         planning.shutdownNow();
         beating.shutdownNow();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/GangStarter.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/GangStarter.java
@@ -47,7 +47,14 @@
         AttemptId id = new AttemptId(
                 row.key(), row.record().attempt() + 1, UUID.randomUUID().toString());
         Map<String, List<AttemptId>> victims = victimsByWorker(place);
-        place.victims().forEach(this::reclaim);
+        return reclaimAll(place.victims()).thenCompose(reclaimed -> {
+            // Borrowers are stopped only for a start that the platform can record.
+            return reclaimed ? reserve(row, place, id, victims) : CompletableFuture.completedFuture(null);
+        });
+    }
+
+    private CompletableFuture<Void> reserve(
+            JobRow row, Place place, AttemptId id, Map<String, List<AttemptId>> victims) {
         return gangs.reserve(id, place.parts(), victims).thenCompose(results -> {
             if (!allOk(results)) {
                 noteFailures("reserve", id, results);
@@ -57,13 +64,23 @@
         });
     }
 
-    private void reclaim(AttemptId victim) {
-        board.jobs()
-                .get(victim.job())
-                .filter(r -> r.record().attemptId().equals(victim))
-                .ifPresent(r -> store.update(r, j -> j.stop(StopReason.RECLAIM, "reclaimed for guaranteed work"))
-                        .whenComplete((v, t) -> EVENTS.info(
-                                "reclaim", "job", victim.job(), "attempt", victim.attempt(), "result", result(t))));
+    private CompletableFuture<Boolean> reclaimAll(List<AttemptId> victims) {
+        List<CompletableFuture<Boolean>> rows =
+                victims.stream().map(this::reclaim).toList();
+        return CompletableFuture.allOf(rows.toArray(CompletableFuture[]::new))
+                .thenApply(v -> rows.stream().allMatch(CompletableFuture::join));
+    }
+
+    private CompletableFuture<Boolean> reclaim(AttemptId victim) {
+        JobRow row = board.jobs().get(victim.job()).orElse(null);
+        if (row == null || !row.record().attemptId().equals(victim)) {
+            return CompletableFuture.completedFuture(false);
+        }
+        return store.update(row, j -> j.stop(StopReason.RECLAIM, "reclaimed for guaranteed work"))
+                .handle((v, t) -> {
+                    EVENTS.info("reclaim", "job", victim.job(), "attempt", victim.attempt(), "result", result(t));
+                    return t == null;
+                });
     }
 
     private Map<String, List<AttemptId>> victimsByWorker(Place place) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/IdempotentSender.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/IdempotentSender.java
@@ -57,8 +57,8 @@
         if (e.outcome() == Outcome.ANSWERED) {
             return Optional.of(Answer.of(e, runner.id()));
         }
-        if (e.outcome() != Outcome.REFUSED) {
-            pending.notePerhapsRun();
+        if (e.outcome() == Outcome.REFUSED) {
+            pending.unseen();
         }
         return again(pending, runner, e.outcome() == Outcome.REFUSED, e.outcome() + " " + e.detail());
     }
@@ -66,8 +66,8 @@
     private Optional<Answer> failed(Pending pending, RunnerView runner, Throwable t) {
         PollenreachException e = PollenreachException.of(t);
         boolean unseen = e.code() == ResultCode.PEER_UNREACHABLE;
-        if (!unseen) {
-            pending.notePerhapsRun();
+        if (unseen) {
+            pending.unseen();
         }
         return again(pending, runner, unseen, e.code().number() + " " + e.getMessage());
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobController.java
@@ -29,6 +29,9 @@
     static final long POLL_MS = 500;
     static final long TICK_MS = 200;
     private static final long HINT_TIMEOUT_MS = 250;
+    /** Without a poll for this long nothing is placed, since no placement could be recorded. */
+    private static final long PLAN_WITHOUT_POLL_MS = 3_000;
+
     private static final long ORPHAN_GRACE_MS = 1_000;
 
     private static final Events EVENTS = Events.of(JobController.class);
@@ -43,6 +46,7 @@
     private final ScheduledExecutorService thread;
     private final AtomicBoolean roundDue = new AtomicBoolean();
     private final AtomicBoolean polling = new AtomicBoolean();
+    private volatile long polledMs;
 
     JobController(
             Board board,
@@ -61,6 +65,7 @@
         this.rpc = rpc;
         this.clock = clock;
         this.thread = thread;
+        this.polledMs = clock.nowMs();
     }
 
     /** Asks for a round soon; many calls make one round. */
@@ -83,6 +88,7 @@
         store.poll().whenComplete((v, t) -> {
             polling.set(false);
             if (t == null) {
+                polledMs = clock.nowMs();
                 changed();
             }
         });
@@ -115,7 +121,9 @@
             return;
         }
         try {
-            planner.plan();
+            if (clock.nowMs() - polledMs < PLAN_WITHOUT_POLL_MS) {
+                planner.plan();
+            }
             board.jobs().list(r -> r.record().state().placed()).forEach(supervisor::step);
             stopOrphans();
         } catch (RuntimeException e) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobTable.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobTable.java
@@ -95,6 +95,16 @@
         return f;
     }
 
+    /** Wakes all watchers, since this process is about to go. */
+    void wakeAll() {
+        List<CompletableFuture<Void>> woken;
+        synchronized (this) {
+            woken = watchers.values().stream().flatMap(List::stream).toList();
+            watchers.clear();
+        }
+        wake(woken);
+    }
+
     /** Stops watching. */
     synchronized void forget(String key, CompletableFuture<Void> watcher) {
         List<CompletableFuture<Void>> list = watchers.get(key);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
@@ -123,12 +123,13 @@
         if (beat.configVersion() > board.config().get().version()) {
             newerConfig.run();
         }
+        board.targets().homeHeard(beat.from(), now);
         boolean news = joined;
         for (TargetInfo t : beat.targets()) {
-            news |= board.targets().relayed(t, now);
+            news |= board.targets().relayed(t, beat.from(), now);
         }
         for (String id : beat.gone()) {
-            news |= board.targets().gone(id, false);
+            news |= board.targets().goneAt(id, beat.from(), now);
         }
         for (WorkerParts p : beat.parts()) {
             news |= board.parts().offer(p);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Pending.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Pending.java
@@ -1,26 +1,26 @@
 package io.pollenreach.daemon.internal.entry;
 
-import java.util.Collections;
+import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A request under way at this entry.
  *
- * <p>Invariant: the answer completes exactly once. Identity equality. Safe for use by many threads.
+ * <p>Invariants: the answer completes exactly once; after {@link #close()} nothing is sent any more, and it tells for
+ * sure whether a runner may have seen a byte. Identity equality. Safe for use by many threads; its lock is a leaf.
  */
 final class Pending {
     private final CallerRequest request;
     private final String digest;
     private final long arrivedMs;
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
-    private final Set<String> tried = ConcurrentHashMap.newKeySet();
-    private final AtomicInteger sends = new AtomicInteger();
-    private volatile boolean started;
-    private volatile boolean perhapsRun;
-    private volatile boolean closedToRetries;
+    private final Set<String> tried = new HashSet<>();
+    private int sends;
+    private int inDoubt;
+    private boolean started;
+    private boolean closed;
+    private boolean closedToRetries;
 
     Pending(CallerRequest request, long arrivedMs) {
         this.request = request;
@@ -45,43 +45,56 @@
     }
 
     /** Returns the runners that it was sent to. */
-    Set<String> tried() {
-        return Collections.unmodifiableSet(tried);
+    synchronized Set<String> tried() {
+        return Set.copyOf(tried);
     }
 
-    void sentTo(String runner) {
+    /** Begins to send it to a runner; false when it is closed, so that it must not be sent. */
+    synchronized boolean beginSend(String runner) {
+        if (closed) {
+            return false;
+        }
         tried.add(runner);
-        sends.incrementAndGet();
+        sends++;
+        inDoubt++;
+        return true;
     }
 
-    int sends() {
-        return sends.get();
+    /** Notes that the runner of one send surely saw no byte of it. */
+    synchronized void unseen() {
+        inDoubt--;
     }
 
-    /** Tells whether the request table counts it as started. */
-    boolean started() {
-        return started;
+    /** Lets nothing be sent any more; true when surely no runner saw a byte. */
+    synchronized boolean close() {
+        closed = true;
+        return inDoubt == 0;
     }
 
-    void start() {
-        started = true;
+    synchronized int sends() {
+        return sends;
     }
 
     /** Tells whether a runner may have seen a byte of it. */
-    boolean perhapsRun() {
-        return perhapsRun;
+    synchronized boolean perhapsRun() {
+        return inDoubt > 0;
+    }
+
+    /** Tells whether the request table counts it as started. */
+    synchronized boolean started() {
+        return started;
     }
 
-    void notePerhapsRun() {
-        perhapsRun = true;
+    synchronized void start() {
+        started = true;
     }
 
     /** Tells whether it must not be sent again, though no runner saw it. */
-    boolean closedToRetries() {
+    synchronized boolean closedToRetries() {
         return closedToRetries;
     }
 
-    void closeToRetries() {
+    synchronized void closeToRetries() {
         closedToRetries = true;
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestApi.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestApi.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Pattern;
 
 import io.pollenreach.Clock;
@@ -27,8 +26,6 @@
     private final Access access;
     private final Clock clock;
     private final int maxBodyBytes;
-    private final AtomicInteger open = new AtomicInteger();
-    private volatile boolean draining;
 
     RequestApi(RequestController requests, ClaimedSender claims, Access access, Clock clock, int maxBodyBytes) {
         this.requests = requests;
@@ -55,12 +52,7 @@
     private CompletableFuture<Reply> request(Context ctx, byte[] body) {
         String workspace = ctx.getAllPathTokens().get("workspace");
         access.requireWorkspace(ctx, workspace);
-        if (draining) {
-            throw new PollenreachException(ResultCode.DRAINING, "ask another entry");
-        }
-        CallerRequest request = read(ctx, workspace, body);
-        open.incrementAndGet();
-        return requests.handle(request).thenApply(Reply::of).whenComplete((r, t) -> open.decrementAndGet());
+        return requests.handle(read(ctx, workspace, body)).thenApply(Reply::of);
     }
 
     private CallerRequest read(Context ctx, String workspace, byte[] body) {
@@ -99,14 +91,4 @@
         }
         throw new PollenreachException(ResultCode.OUT_OF_RANGE, "Idempotent", "true or false, not " + text);
     }
-
-    /** Takes no new requests from now on. */
-    void drain() {
-        draining = true;
-    }
-
-    /** Returns how many callers wait for an answer. */
-    int open() {
-        return open.get();
-    }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestController.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
@@ -46,6 +47,7 @@
     private final Clock clock;
     private final ScheduledExecutorService timer;
     private final LengthEstimator lengths = new LengthEstimator(DEFAULT_LENGTH_MS);
+    private final AtomicBoolean pumpDue = new AtomicBoolean();
     private final Map<String, Pending> underWay = new ConcurrentHashMap<>();
     private final Map<String, ServiceQueue> queues = new ConcurrentHashMap<>();
 
@@ -120,6 +122,16 @@
         return queues.computeIfAbsent(service, s -> new ServiceQueue(zone, router, clock));
     }
 
+    /** Sends soon what waits; many calls make one round. */
+    void pumpSoon() {
+        if (waiting() > 0 && pumpDue.compareAndSet(false, true)) {
+            timer.execute(() -> {
+                pumpDue.set(false);
+                pump();
+            });
+        }
+    }
+
     /** Sends what waits wherever runners have room. */
     void pump() {
         queues.keySet().forEach(this::pump);
@@ -167,7 +179,10 @@
             return;
         }
         long now = clock.nowMs();
-        p.sentTo(d.runner().id());
+        if (!p.beginSend(d.runner().id())) {
+            queue.returned(d.runner().id());
+            return;
+        }
         EVENTS.info(
                 "route",
                 "request",
@@ -235,7 +250,7 @@
     }
 
     private void giveUp(Pending p, String why) {
-        if (p.perhapsRun()) {
+        if (!p.close()) {
             ResultCode code = p.request().idempotent() ? ResultCode.DEADLINE_PASSED : ResultCode.OUTCOME_UNKNOWN;
             fail(p, new PollenreachException(code, why));
             return;
