Let an agent that changed its home no longer hold the configuration back

An entry remembered version 0 of an agent that had moved to another home entry, for as long as the agent lived there.

Ruled out: counting only agents whose home is here by the hash, since during a move neither home would count the agent and IN_FORCE could be said too early.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/View.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/View.java
@@ -47,22 +47,26 @@
             "/status/detail"),
     TARGETS(
             "target",
-            "ID",
-            "/id",
+            "NAME",
+            "/name",
             "KIND",
-            "/kind",
+            "/spec/kind",
+            "SERVICE",
+            "/spec/service",
             "ZONE",
-            "/zone",
+            "/spec/zone",
             "RACK",
-            "/rack",
+            "/spec/rack",
             "STATE",
-            "/state",
+            "/status/state",
             "ACCELERATORS",
-            "/accelerators",
+            "/spec/accelerators",
             "SLOTS",
-            "/slots",
+            "/spec/slots",
             "IN-USE",
-            "/inUse"),
+            "/spec/load/inUse",
+            "FAILURES",
+            "/spec/load/recentFailures"),
     REQUESTS("request", "ID", "/id", "STATE", "/state", "CODE", "/code", "DETAIL", "/detail");
 
     private final String singular;
@@ -107,7 +111,8 @@
             value.forEach(v -> parts.add(element(v)));
             return parts.isEmpty() ? "-" : String.join(",", parts);
         }
-        return value.isValueNode() ? value.asText() : value.toString();
+        String text = value.isValueNode() ? value.asText() : value.toString();
+        return text.isEmpty() ? "-" : text;
     }
 
     private static String element(JsonNode value) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/AgentLink.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/AgentLink.java
@@ -66,7 +66,7 @@
         if (unseen && news) {
             EVENTS.info("target-joined", "target", target.id(), "kind", target.kind(), "zone", target.zone());
         }
-        board.agentVersions().confirmed(target.id(), beat.configVersion());
+        board.agentVersions().confirmed(target.id(), beat.configVersion(), clock.nowMs());
         boolean partsChanged = target.kind() == TargetKind.WORKER && takeParts(beat);
         if (unseen || partsChanged || target.kind() == TargetKind.RUNNER) {
             changed.run();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigController.java
@@ -110,7 +110,7 @@
     long versionInForceEverywhere() {
         long now = clock.nowMs();
         long peers = board.agentVersions().lowestPeer(a -> isPeer(a, now));
-        long agents = board.agentVersions().lowestAgent(id -> board.targets().usable(id, now));
+        long agents = board.agentVersions().lowestAgent(now);
         return Math.min(board.config().get().version(), Math.min(peers, agents));
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
@@ -84,7 +84,7 @@
                 self.incarnation(),
                 draining,
                 board.config().get().version(),
-                board.agentVersions().lowestAgent(id -> board.targets().usable(id, clock.nowMs())),
+                board.agentVersions().lowestAgent(clock.nowMs()),
                 targets.targets(),
                 homedParts(from.parts()),
                 targets.gone(),
