--- a/bench/src/main/java/io/pollenreach/bench/Main.java
+++ b/bench/src/main/java/io/pollenreach/bench/Main.java
@@ -2,17 +2,18 @@
 
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.help.Help;
+import io.pollenreach.bench.experiment.ExperimentCommand;
 
 /**
- * Runs the stand-ins from the command line.
+ * Runs the stand-ins and the experiments from the command line.
  *
  * <p>Stateless.
  */
 @com.github.rvesse.airline.annotations.Cli(
         name = "bench",
-        description = "Stand-ins of the platform and of runners",
+        description = "Stand-ins of the platform and of runners, and experiments",
         defaultCommand = Help.class,
-        commands = {PlatformCommand.class, RunnerCommand.class, Help.class})
+        commands = {PlatformCommand.class, RunnerCommand.class, ExperimentCommand.class, Help.class})
 public final class Main {
     private Main() {}
 
