Test the entry's stores, configuration and request path against fakes

Cause: the promises on claims, 'not run', racing operators and lost answers had no focused test at the entry. Ruled out: only tests with real processes, which can't place a fault between two steps.

--- /dev/null
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
@@ -0,0 +1,206 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pollenreach.ManualClock;
+import io.pollenreach.ResultCode;
+import io.pollenreach.Workspace;
+import io.pollenreach.daemon.internal.platform.Write;
+import io.pollenreach.internal.json.Json;
+import io.pollenreach.internal.membership.EntryView;
+import io.pollenreach.internal.routing.LoadRouter;
+import io.pollenreach.internal.wire.Buried;
+import io.pollenreach.internal.wire.Bury;
+import io.pollenreach.internal.wire.Execute;
+import io.pollenreach.internal.wire.Executed;
+import io.pollenreach.internal.wire.Inquire;
+import io.pollenreach.internal.wire.Load;
+import io.pollenreach.internal.wire.Message;
+import io.pollenreach.internal.wire.Outcome;
+import io.pollenreach.internal.wire.TargetInfo;
+import io.pollenreach.internal.wire.TargetKind;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** Drives the request path of an entry against a fake runner's agent, fake peers and a fake table. */
+class RequestPathTest {
+    private static final String PEER = "10.0.0.2:1";
+    private static final long LONG_MS = 60_000;
+
+    private final FakeTable table = new FakeTable();
+    private final FakeRpc rpc = new FakeRpc();
+    private final ManualClock clock = new ManualClock();
+    private final Board board = new Board(new EntryView("10.0.0.1:1", "setubal", 1), clock);
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final ClaimedSender claimed = new ClaimedSender(board, new ClaimStore(table, null), rpc, clock);
+    private final RequestController requests = new RequestController(
+            board,
+            new Burial(board, rpc, clock),
+            new IdempotentSender(rpc, clock),
+            claimed,
+            LoadRouter.builder().build(),
+            "setubal",
+            clock,
+            timer);
+
+    @BeforeEach
+    void declareWorkspaceAndRunner() {
+        JsonNode w = Json.lenient().valueToTree(new Workspace("tejo", List.of(), 8, 1, 2, "hash"));
+        table.put(new Write(ConfigSnapshot.TABLE, ConfigSnapshot.WORKSPACE + "tejo", 0, w))
+                .join();
+        board.config().apply(table.list(ConfigSnapshot.TABLE, "", 0).join());
+        announceRunner(8);
+    }
+
+    @AfterEach
+    void stopTimer() {
+        timer.shutdownNow();
+    }
+
+    @Test
+    void copyOfRequestUnderWayGetsTheSameAnswerAndIsSentOnce() {
+        CompletableFuture<Message> open = new CompletableFuture<>();
+        rpc.answer((a, m) -> open);
+        CompletableFuture<Answer> first = requests.handle(request("1", true, LONG_MS));
+        CompletableFuture<Answer> copy = requests.handle(request("1", true, LONG_MS));
+        open.complete(executed("1", Outcome.ANSWERED));
+        assertThat(first.join()).isEqualTo(copy.join());
+        assertThat(rpc.calls(Execute.class)).hasSize(1);
+    }
+
+    @Test
+    void answerToAnotherRequestIsNotPassedOn() {
+        rpc.answer((a, m) -> FakeRpc.done(executed("2", Outcome.ANSWERED)));
+        assertFails(requests.handle(request("1", true, LONG_MS)), ResultCode.ANSWER_CUT);
+    }
+
+    @Test
+    void requestThatNoRunnerTookIsNotRunOnceEveryEntryBuriedIt() {
+        peerAnswers(true);
+        announceRunner(0);
+        assertFails(requests.handle(request("1", true, 0)), ResultCode.NOT_RUN);
+        assertThat(rpc.calls(Bury.class)).hasSize(1);
+    }
+
+    @Test
+    void lateCopyOfRefusedRequestIsRefusedWithoutBeingSent() {
+        peerAnswers(true);
+        announceRunner(0);
+        assertFails(requests.handle(request("1", true, 0)), ResultCode.NOT_RUN);
+        announceRunner(8);
+        assertFails(requests.handle(request("1", true, LONG_MS)), ResultCode.NOT_RUN);
+        assertThat(rpc.calls(Execute.class)).isEmpty();
+    }
+
+    @Test
+    void notRunIsNotSaidWhenAPeerHasStartedIt() {
+        peerAnswers(false);
+        announceRunner(0);
+        assertFails(requests.handle(request("1", true, 0)), ResultCode.NOT_ADMITTED);
+    }
+
+    @Test
+    void notRunIsNotSaidWhileARunnerMayHaveIt() {
+        rpc.answer((a, m) -> new CompletableFuture<>());
+        assertFails(requests.handle(request("1", true, 200)), ResultCode.DEADLINE_PASSED);
+    }
+
+    @Test
+    void claimOfAnotherEntryIsAskedAboutAndNotSentAgain() {
+        rpc.answer((a, m) -> FakeRpc.done(executed("1", Outcome.ANSWERED)));
+        requests.handle(request("1", false, LONG_MS)).join();
+        assertThat(requests.handle(request("1", false, LONG_MS)).join().body())
+                .isEqualTo("answer".getBytes(StandardCharsets.UTF_8));
+        assertThat(rpc.calls(Execute.class)).hasSize(1);
+    }
+
+    @Test
+    void lostAnswerOfTheClaimDoesNotRunTheRequestTwice() {
+        rpc.answer((a, m) -> FakeRpc.done(executed("1", Outcome.ANSWERED)));
+        table.loseAnswers(1);
+        requests.handle(request("1", false, LONG_MS)).join();
+        assertThat(rpc.calls(Execute.class)).hasSize(1);
+    }
+
+    @Test
+    void withoutThePlatformNonIdempotentRequestIsRefusedAtOnceAndNeverSent() {
+        table.down(true);
+        assertFails(requests.handle(request("1", false, LONG_MS)), ResultCode.NOT_RUN);
+        assertThat(rpc.calls(Execute.class)).isEmpty();
+    }
+
+    @Test
+    void brokenSendIsAskedAboutAndGivenUpWhenTheAgentForgot() {
+        rpc.answer((a, m) -> m instanceof Inquire
+                ? FakeRpc.done(executed("1", Outcome.UNKNOWN))
+                : FakeRpc.failed(ResultCode.PEER_TIMEOUT));
+        assertFails(requests.handle(request("1", false, LONG_MS)), ResultCode.OUTCOME_UNKNOWN);
+        assertThat(rpc.calls(Execute.class)).hasSize(1);
+    }
+
+    @Test
+    void sameIdWithAnotherBodyIsRefused() {
+        rpc.answer((a, m) -> FakeRpc.done(executed("1", Outcome.ANSWERED)));
+        requests.handle(request("1", false, LONG_MS)).join();
+        CallerRequest changed = new CallerRequest(
+                "tejo", "returns", "1", false, "POST", "/credit", "", new byte[] {9}, clock.nowMs() + LONG_MS);
+        assertFails(requests.handle(changed), ResultCode.REQUEST_MISMATCH);
+    }
+
+    @Test
+    void requestsAboveTheWorkspaceLimitAreRefused() {
+        announceRunner(0);
+        requests.handle(request("1", true, LONG_MS));
+        requests.handle(request("2", true, LONG_MS));
+        assertFails(requests.handle(request("3", true, LONG_MS)), ResultCode.OVERLOADED);
+    }
+
+    private void peerAnswers(boolean neverStarts) {
+        board.entries().heard(PEER, "almada", 1, false, clock.nowMs());
+        rpc.answer((a, m) -> FakeRpc.done(new Buried(neverStarts)));
+    }
+
+    private long sequence;
+
+    private void announceRunner(int slots) {
+        sequence++;
+        TargetInfo runner = new TargetInfo(
+                "r1",
+                1,
+                sequence,
+                TargetKind.RUNNER,
+                "returns",
+                "setubal",
+                "k",
+                "10.0.0.9:1",
+                0,
+                slots,
+                Load.NONE,
+                false);
+        board.targets().announced(runner, clock.nowMs());
+    }
+
+    private CallerRequest request(String id, boolean idempotent, long deadlineMs) {
+        return new CallerRequest(
+                "tejo", "returns", id, idempotent, "POST", "/credit", "", new byte[] {1}, clock.nowMs() + deadlineMs);
+    }
+
+    private static Executed executed(String id, Outcome outcome) {
+        byte[] body = "answer".getBytes(StandardCharsets.UTF_8);
+        return new Executed(id, "tejo", outcome, 200, "text/plain", body, "");
+    }
+
+    private static void assertFails(CompletableFuture<Answer> answer, ResultCode code) {
+        assertThatThrownBy(answer::join)
+                .satisfies(t -> assertThat(JobStoreTest.codeOf(t)).isEqualTo(code));
+    }
+}
