Run the real daemons under failures

Cause: kills, pauses, outages and lost answers between real processes were never tried together. Ruled out: stand-ins as processes of their own; inside the test their whole histories are at hand and a test starts fewer processes.

--- /dev/null
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/JobsReachTheirEndTest.java
@@ -0,0 +1,134 @@
+package io.pollenreach.systemtest;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+
+import io.pollenreach.bench.link.LinkFaults;
+import io.pollenreach.bench.standin.PlatformFaults;
+import io.pollenreach.internal.gang.GangTimes;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Jobs under failures: each reaches its end, and its parts run together or not at all. */
+@Timeout(120)
+class JobsReachTheirEndTest {
+    private static final String WORKSPACE = "shop-a";
+    private static final int WORKERS = 4;
+    private static final int JOBS = 10;
+    private static final int MAX_PARTS = 3;
+    private static final int ACCELERATORS_PER_PART = 4;
+    private static final long END_TIMEOUT_MS = 45_000;
+    private static final long OUTAGE_MS = 2_000;
+    private static final int LOST_PERCENT = 20;
+    /** What the gang protocol promises, with time for the runtime to be told and for a busy machine. */
+    private static final long SKEW_MS = 2 * GangTimes.GANG_SILENCE_MS + GangTimes.GANG_BEAT_MS + 2_500;
+
+    private final Map<String, Integer> partsByJob = new HashMap<>();
+
+    @Test
+    void entryIsKilled() throws Exception {
+        try (Cluster cluster = start("jobs-entry-killed", 21)) {
+            submitJobs(cluster, 21);
+            cluster.daemon("e1").kill();
+            awaitEnds(cluster);
+            check(cluster);
+        }
+    }
+
+    @Test
+    void agentsAreKilledAndStartAgain() throws Exception {
+        try (Cluster cluster = start("jobs-agent-killed", 22)) {
+            submitJobs(cluster, 22);
+            for (String worker : new String[] {"w1", "w2"}) {
+                Await.until("a part runs", END_TIMEOUT_MS, () -> running(cluster) > 0);
+                cluster.daemon(worker).kill();
+                Thread.sleep(500);
+                cluster.daemon(worker).start();
+            }
+            awaitEnds(cluster);
+            check(cluster);
+        }
+    }
+
+    @Test
+    void platformIsDownForAWhileAndThenSilent() throws Exception {
+        try (Cluster cluster = start("jobs-platform-down", 23)) {
+            submitJobs(cluster, 23);
+            Await.until("a part runs", END_TIMEOUT_MS, () -> running(cluster) > 0);
+            cluster.platform().setFaults(new PlatformFaults(true, 0, 0, 23, null, false));
+            Thread.sleep(OUTAGE_MS);
+            cluster.platform().setFaults(new PlatformFaults(false, 0, 0, 23, null, false));
+            cluster.platformLink().set(LinkFaults.freeze());
+            Thread.sleep(OUTAGE_MS);
+            cluster.platformLink().set(LinkFaults.NONE);
+            awaitEnds(cluster);
+            check(cluster);
+        }
+    }
+
+    @Test
+    void agentIsPausedWhileItsPartOfAGangRuns() throws Exception {
+        try (Cluster cluster = start("jobs-agent-paused", 25)) {
+            partsByJob.put(WORKSPACE + "/wide", WORKERS - 1);
+            cluster.submit(WORKSPACE, "wide", WORKERS - 1, Cluster.ACCELERATORS, "sleep:4000");
+            Await.until("every part runs", END_TIMEOUT_MS, () -> running(cluster) == WORKERS - 1);
+            String paused = TaskRun.of(cluster.platformHistory()).get(0).worker();
+            cluster.daemon(paused).freeze();
+            Await.until("no part runs", END_TIMEOUT_MS, () -> running(cluster) == 0);
+            cluster.daemon(paused).thaw();
+            awaitEnds(cluster);
+            check(cluster);
+        }
+    }
+
+    @Test
+    void answersToWritesAreLost() throws Exception {
+        try (Cluster cluster = start("jobs-answers-lost", 24)) {
+            cluster.platform().setFaults(new PlatformFaults(false, 0, LOST_PERCENT, 24, null, false));
+            submitJobs(cluster, 24);
+            awaitEnds(cluster);
+            check(cluster);
+        }
+    }
+
+    private static Cluster start(String name, long seed) throws Exception {
+        Cluster cluster = Cluster.start(name, 2, WORKERS, 0, seed);
+        cluster.addWorkspace(WORKSPACE, 2, ACCELERATORS_PER_PART);
+        return cluster;
+    }
+
+    private void submitJobs(Cluster cluster, long seed) throws InterruptedException {
+        Random random = new Random(seed);
+        for (int i = 0; i < JOBS; i++) {
+            String name = "cut-" + i;
+            int parts = 1 + random.nextInt(MAX_PARTS);
+            String command = "sleep:" + (500 + random.nextInt(1_500));
+            partsByJob.put(WORKSPACE + "/" + name, parts);
+            cluster.submit(WORKSPACE, name, parts, ACCELERATORS_PER_PART, command);
+        }
+    }
+
+    private static long running(Cluster cluster) {
+        return TaskRun.of(cluster.platformHistory()).stream()
+                .filter(r -> r.ran() && r.endMs() == TaskRun.NEVER)
+                .count();
+    }
+
+    private void awaitEnds(Cluster cluster) throws InterruptedException {
+        Await.until("every job ends", END_TIMEOUT_MS, () -> new JobChecks(cluster.platformHistory())
+                .everyJobEnds(partsByJob.keySet())
+                .isEmpty());
+    }
+
+    private void check(Cluster cluster) {
+        JobChecks checks = new JobChecks(cluster.platformHistory());
+        assertThat(checks.everyJobEnds(partsByJob.keySet())).isEmpty();
+        assertThat(checks.transitions()).isEmpty();
+        assertThat(checks.oneAttemptAlive()).isEmpty();
+        assertThat(checks.workerWithinCapacity(cluster.workers())).isEmpty();
+        assertThat(checks.gangAllOrNothing(partsByJob, SKEW_MS)).isEmpty();
+    }
+}
