--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/ApiClient.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/ApiClient.java
@@ -47,7 +47,12 @@
 
     /** Reads a resource. */
     JsonNode get(String path) {
-        return json(send("GET", path, Map.of(), new byte[0], CALL_TIMEOUT_MS, Repeat.SAFE));
+        return json(read(path));
+    }
+
+    /** Reads what is not an envelope. */
+    HttpReply read(String path) {
+        return send("GET", path, Map.of(), new byte[0], CALL_TIMEOUT_MS, Repeat.SAFE);
     }
 
     /** Reads a resource that may not exist. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/GetCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/GetCommand.java
@@ -11,7 +11,7 @@
 import io.pollenreach.ResultCode;
 
 /** Shows resources. For use by one thread. */
-@Command(name = "get", description = "Shows workspaces, policies, jobs, targets or the outcome of a request")
+@Command(name = "get", description = "Shows workspaces, policies, jobs, targets or the answer to a request")
 public final class GetCommand extends ClientCommand {
     @Arguments(
             title = {"KIND", "NAME"},
@@ -31,6 +31,9 @@
         View view = View.of(words.get(0))
                 .orElseThrow(
                         () -> usage("\"" + words.get(0) + "\" is not workspaces, policies, jobs, targets or request."));
+        if (view == View.REQUESTS) {
+            return RequestCommand.print(api.read(path(view)), console);
+        }
         JsonNode answer = api.get(path(view));
         if (json()) {
             console.out().println(answer.toPrettyString());
@@ -48,9 +51,6 @@
         if (view == View.REQUESTS) {
             throw usage("Name the request as WORKSPACE/ID.");
         }
-        if (view == View.POLICIES) {
-            return base + "/default";
-        }
         return view == View.JOBS && workspace != null ? base + "?workspace=" + workspace : base;
     }
 
@@ -58,6 +58,6 @@
         if (answer.isArray()) {
             return answer;
         }
-        return answer.path("items").isArray() ? answer.path("items") : List.of(answer);
+        return List.of(answer);
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/RequestCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/RequestCommand.java
@@ -52,7 +52,11 @@
         String requestId =
                 Optional.ofNullable(id).orElseGet(() -> UUID.randomUUID().toString());
         console.err().println("Request-Id: " + requestId);
-        HttpReply reply = send(api, requestId);
+        return print(send(api, requestId), console);
+    }
+
+    /** Prints a runner's answer, or fails with the system's own code; returns the exit status. */
+    static int print(HttpReply reply, Console console) throws IOException {
         Optional<PollenreachException> error =
                 reply.resultCode().equals("0") ? Optional.empty() : ApiClient.error(reply);
         if (error.isPresent()) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/View.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/View.java
@@ -67,7 +67,8 @@
             "/spec/load/inUse",
             "FAILURES",
             "/spec/load/recentFailures"),
-    REQUESTS("request", "ID", "/id", "STATE", "/state", "CODE", "/code", "DETAIL", "/detail");
+    /** The runner's answer is shown as it is, without a table. */
+    REQUESTS("request");
 
     private final String singular;
     private final List<String> titles = new ArrayList<>();
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/cli/CommandLineTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/cli/CommandLineTest.java
@@ -173,6 +173,14 @@
         assertThat(text(err)).contains("3001 NOT_RUN");
     }
 
+    @Test
+    void showsTheRecordedAnswerOfARequest() {
+        assertThat(run("get", "request", "tejo/r-1")).isZero();
+        assertThat(text(out)).contains("the runner's");
+
+        assertThat(run("get", "request", "tejo/refused")).isEqualTo(ResultCode.NOT_RUN.exitStatus());
+    }
+
     @Test
     void neverRepeatsANonIdempotentRequestWhoseAnswerWasLost() {
         first.loseNextAnswer();
