Split the agent's node from its daemon and let nodes share threads

Several agents in one process are needed to measure an entry; each keeps its own port, home link and guards. The daemon is now metrics, HTTP and drain around one node.

--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentNode.java
@@ -0,0 +1,178 @@
+package io.pollenreach.daemon.internal.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.platform.TaskRuntime;
+import io.pollenreach.daemon.internal.rpc.Rpc;
+import io.pollenreach.daemon.internal.rpc.RpcNode;
+import io.pollenreach.daemon.internal.rpc.RpcThreads;
+import io.pollenreach.daemon.internal.settings.AgentSettings;
+import io.pollenreach.internal.wire.Load;
+import io.pollenreach.internal.wire.Message;
+
+/**
+ * An agent without its HTTP server: the target's guards, the link to its home, and the node that carries their calls.
+ *
+ * <p>Invariant: the agent announces itself only once no task of an earlier agent runs. Several may share threads. Safe
+ * for use by many threads.
+ */
+public final class AgentNode implements AutoCloseable {
+    private static final Events EVENTS = Events.of(AgentNode.class);
+    /** How long the last heartbeat and the stop of tasks may take on a shutdown, in milliseconds. */
+    private static final long LEAVE_TIMEOUT_MS = 2_000;
+
+    private final AgentSettings settings;
+    private final RpcNode rpc;
+    private final TargetAgent target;
+    private final HomeLink home;
+    private final List<ScheduledFuture<?>> rounds = new ArrayList<>();
+
+    private AgentNode(
+            AgentSettings settings,
+            Function<Rpc, TargetAgent> targets,
+            Clock clock,
+            RpcThreads threads,
+            ScheduledExecutorService timer) {
+        this.settings = settings;
+        CompletableFuture<TargetAgent> later = new CompletableFuture<>();
+        rpc = RpcNode.start(settings.rpcAddress(), m -> handle(later, m), clock, threads);
+        target = targets.apply(rpc);
+        home = new HomeLink(settings, rpc.address(), rpc, clock, timer, target);
+        target.join(home);
+        later.complete(target);
+    }
+
+    /**
+     * Starts the agent of a worker.
+     *
+     * @param settings its settings; the HTTP address and the target's address are not used
+     * @param runtime the worker's runtime
+     * @param clock the clock of all leases and timeouts
+     * @param threads the threads that carry its calls
+     * @param timer drives its rounds; its tasks must not block
+     * @return the running agent; fails with {@code OUT_OF_RANGE} when the address cannot be used
+     */
+    public static AgentNode startWorker(
+            AgentSettings settings,
+            TaskRuntime runtime,
+            Clock clock,
+            RpcThreads threads,
+            ScheduledExecutorService timer) {
+        Function<Rpc, TargetAgent> worker =
+                rpc -> new WorkerAgent(settings.id(), settings.accelerators(), runtime, rpc, clock);
+        return start(settings, worker, clock, threads, timer);
+    }
+
+    static AgentNode startRunner(
+            AgentSettings settings,
+            RunnerCalls calls,
+            Clock clock,
+            RpcThreads threads,
+            ScheduledExecutorService timer) {
+        return start(settings, rpc -> new RunnerAgent(settings, calls, clock), clock, threads, timer);
+    }
+
+    private static AgentNode start(
+            AgentSettings settings,
+            Function<Rpc, TargetAgent> targets,
+            Clock clock,
+            RpcThreads threads,
+            ScheduledExecutorService timer) {
+        AgentNode node = new AgentNode(settings, targets, clock, threads, timer);
+        node.every(timer, AgentTimes.TICK_MS, node.target::tick);
+        node.every(timer, AgentTimes.HEARTBEAT_MS, node::beat);
+        EVENTS.info("agent-started", "target", settings.id(), "kind", settings.kind(), "rpc", node.address());
+        return node;
+    }
+
+    private static CompletableFuture<Message> handle(CompletableFuture<TargetAgent> target, Message message) {
+        TargetAgent agent = target.getNow(null);
+        if (agent == null) {
+            throw new PollenreachException(ResultCode.NOT_READY, "the agent is starting");
+        }
+        return agent.handle(message);
+    }
+
+    private void every(ScheduledExecutorService timer, long periodMs, Runnable work) {
+        rounds.add(timer.scheduleWithFixedDelay(() -> guarded(work), 0, periodMs, TimeUnit.MILLISECONDS));
+    }
+
+    private static void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            // One failed round must not end the loop that renews leases.
+            EVENTS.warn("round-failed", "code", ResultCode.INTERNAL.number(), "why", e);
+        }
+    }
+
+    private void beat() {
+        if (target.ready()) {
+            home.beat();
+        }
+    }
+
+    /** Tells whether the target takes work and an entry knows of it. */
+    public boolean ready() {
+        return target.ready() && home.connected();
+    }
+
+    /** Returns where the agent listens for other processes, as {@code ip:port}. */
+    public String address() {
+        return rpc.address();
+    }
+
+    /** Returns the bytes sent to other processes since the start. */
+    public long bytesSent() {
+        return rpc.bytesSent();
+    }
+
+    /** Returns the bytes received from other processes since the start. */
+    public long bytesReceived() {
+        return rpc.bytesReceived();
+    }
+
+    Load load() {
+        return target.load();
+    }
+
+    HomeLink home() {
+        return home;
+    }
+
+    /** Announces that the target leaves and waits for work in flight within the drain timeout. */
+    void drain() {
+        EVENTS.info("agent-draining", "target", settings.id(), "timeoutMs", settings.drainTimeoutMs());
+        CompletableFuture<Void> drained = target.drain();
+        home.drain();
+        if (!await(drained, settings.drainTimeoutMs())) {
+            EVENTS.warn("drain-timed-out", "target", settings.id());
+            await(target.stopAll(), LEAVE_TIMEOUT_MS);
+        }
+        await(home.leave(), LEAVE_TIMEOUT_MS);
+        EVENTS.info("agent-stopped", "target", settings.id());
+    }
+
+    private static boolean await(CompletableFuture<Void> future, long timeoutMs) {
+        return future.thenApply(v -> true)
+                .completeOnTimeout(false, timeoutMs, TimeUnit.MILLISECONDS)
+                .join();
+    }
+
+    /** Stops at once, as a process that dies would. */
+    @Override
+    public void close() {
+        rounds.forEach(r -> r.cancel(false));
+        rpc.close();
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/rpc/RpcNode.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/rpc/RpcNode.java
@@ -5,24 +5,21 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
 
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
@@ -41,27 +38,23 @@
  */
 public final class RpcNode implements Rpc, AutoCloseable {
     private static final int CONNECT_TIMEOUT_MS = 500;
-    private static final long SHUTDOWN_TIMEOUT_MS = 1_000;
     private static final int BACKLOG = 1_024;
-    private static final int PAGE_BYTES = 8_192;
-    /** Chunks of 128 KiB instead of Netty's 4 MiB, because frames are small. */
-    private static final int CHUNK_ORDER = 4;
-
     private static final int MIN_READ_BYTES = 256;
     private static final int INITIAL_READ_BYTES = 1_024;
     private static final int MAX_READ_BYTES = 65_536;
 
     private final Clock clock;
-    private final EventLoopGroup group;
-    private final ByteBufAllocator allocator;
+    private final RpcThreads threads;
+    private final boolean ownThreads;
+    private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final ByteCounter bytes = new ByteCounter();
     private final Map<String, Peer> peers = new ConcurrentHashMap<>();
     private Channel server;
 
-    private RpcNode(Clock clock, int threads) {
+    private RpcNode(Clock clock, RpcThreads threads, boolean ownThreads) {
         this.clock = clock;
-        group = new NioEventLoopGroup(threads, new DefaultThreadFactory("rpc", true));
-        allocator = new PooledByteBufAllocator(true, threads, threads, PAGE_BYTES, CHUNK_ORDER);
+        this.threads = threads;
+        this.ownThreads = ownThreads;
     }
 
     /**
@@ -74,7 +67,15 @@
      * @return the running node; fails with {@code OUT_OF_RANGE} when the address cannot be used
      */
     public static RpcNode start(String bindAddress, RpcHandler handler, Clock clock, int threads) {
-        RpcNode node = new RpcNode(clock, threads);
+        return start(bindAddress, handler, new RpcNode(clock, new RpcThreads(threads), true));
+    }
+
+    /** As {@link #start(String, RpcHandler, Clock, int)} but on threads that the caller shares among nodes. */
+    public static RpcNode start(String bindAddress, RpcHandler handler, Clock clock, RpcThreads threads) {
+        return start(bindAddress, handler, new RpcNode(clock, threads, false));
+    }
+
+    private static RpcNode start(String bindAddress, RpcHandler handler, RpcNode node) {
         try {
             node.bind(bindAddress, handler);
         } catch (RuntimeException e) {
@@ -86,16 +87,17 @@
 
     private void bind(String bindAddress, RpcHandler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(group)
+                .group(threads.group())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.ALLOCATOR, allocator)
+                .childOption(ChannelOption.ALLOCATOR, threads.allocator())
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readSizes())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        accepted.add(channel);
                         channel.pipeline().addLast(bytes, new FrameDecoder(), new CallReceiver(handler));
                     }
                 });
@@ -146,11 +148,11 @@
 
     private Peer peer(String address) {
         Bootstrap bootstrap = new Bootstrap()
-                .group(group.next())
+                .group(threads.group().next())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOCATOR, allocator)
+                .option(ChannelOption.ALLOCATOR, threads.allocator())
                 .option(ChannelOption.RCVBUF_ALLOCATOR, readSizes());
         return new Peer(address, parse(address), bootstrap, this::withPipeline, clock);
     }
@@ -183,6 +185,9 @@
         } catch (RejectedExecutionException e) {
             return;
         }
-        group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        accepted.close().awaitUninterruptibly();
+        if (ownThreads) {
+            threads.close();
+        }
     }
 }
