Report usage errors plainly and go on after one refused job

Ruled out: a code of its own for usage errors, since ResultCode is shared and exit status 11 already says bad input.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/ApplyCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/ApplyCommand.java
@@ -35,13 +35,13 @@
     @Option(name = "--dry-run", description = "Shows the differences and writes nothing.")
     boolean dryRun;
 
-    @Option(name = "--wait", description = "Waits until the workspaces are in force everywhere.")
+    @Option(name = "--wait", description = "Waits until workspaces and policies are in force everywhere.")
     boolean wait;
 
     @Option(
             name = "--wait-timeout-ms",
             title = "MS",
-            description = "How long --wait waits for each workspace. Default: 60000.")
+            description = "How long --wait waits for each resource. Default: 60000.")
     long waitTimeoutMs = 60_000;
 
     @Override
@@ -77,11 +77,7 @@
                             + written.path("version").asLong());
             return ResultCode.OK.exitStatus();
         } catch (PollenreachException e) {
-            if (e.code() == ResultCode.PEER_UNREACHABLE || e.code() == ResultCode.PEER_TIMEOUT) {
-                throw e;
-            }
-            console.err().println(declaration.title() + ": " + Errors.text(e));
-            return e.code().exitStatus();
+            return Errors.reportOne(declaration, e, console);
         }
     }
 
@@ -103,7 +99,7 @@
     }
 
     private void awaitInForce(Declaration declaration, Console console, ApiClient api) throws InterruptedException {
-        if (declaration.kind() != Kind.WORKSPACE) {
+        if (declaration.kind() == Kind.JOB) {
             return;
         }
         long deadlineMs = Clock.system().nowMs() + waitTimeoutMs;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/CheckCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/CheckCommand.java
@@ -11,7 +11,6 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.declare.DeclarationFiles;
 import io.pollenreach.daemon.internal.settings.SettingsFile;
@@ -68,7 +67,7 @@
         try {
             return Content.valueOf(word.toUpperCase(Locale.ROOT));
         } catch (IllegalArgumentException e) {
-            throw new PollenreachException(ResultCode.MALFORMED, "--as must be entry, agent or declarations.");
+            throw new UsageException("--as must be entry, agent or declarations.");
         }
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/ClientCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/ClientCommand.java
@@ -6,8 +6,6 @@
 import java.util.Optional;
 
 import com.github.rvesse.airline.annotations.Option;
-import io.pollenreach.PollenreachException;
-import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.LogSetup;
 
 /** A command that calls the resource API. For use by one thread. */
@@ -82,8 +80,8 @@
                 .orElseThrow(() -> usage("Give a token with --token or " + TOKEN_VARIABLE + "."));
     }
 
-    static PollenreachException usage(String detail) {
-        return new PollenreachException(ResultCode.MALFORMED, detail);
+    static UsageException usage(String detail) {
+        return new UsageException(detail);
     }
 
     /** Splits an argument of the form WORKSPACE/NAME. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/CommandLine.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/CommandLine.java
@@ -59,7 +59,7 @@
                 return showHelp(args);
             }
             return cli.parse(args).run(console);
-        } catch (ParseException e) {
+        } catch (ParseException | UsageException e) {
             console.err().println(e.getMessage());
             console.err().println("Try: pollenreach help");
             return ResultCode.MALFORMED.exitStatus();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
@@ -8,7 +8,6 @@
 
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.log.LogSetup;
@@ -30,7 +29,7 @@
     final int run(Console console) throws Exception {
         Level level = LEVELS.get(logLevel.toLowerCase(Locale.ROOT));
         if (level == null) {
-            throw new PollenreachException(ResultCode.MALFORMED, "--log-level must be debug, info or warning.");
+            throw new UsageException("--log-level must be debug, info or warning.");
         }
         LogSetup.start(level);
         AutoCloseable daemon = start(Path.of(settings));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/Errors.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/Errors.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.declare.Declaration;
 
 /** Turns errors of the resource API into failures, and failures into text. Stateless. */
 final class Errors {
@@ -19,6 +20,15 @@
                 + failure.getMessage();
     }
 
+    /** Reports that one of several declarations was refused, so that the others can go on; returns the exit status. */
+    static int reportOne(Declaration declaration, PollenreachException failure, Console console) {
+        if (failure.code() == ResultCode.PEER_UNREACHABLE || failure.code() == ResultCode.PEER_TIMEOUT) {
+            throw failure;
+        }
+        console.err().println(declaration.title() + ": " + text(failure));
+        return failure.code().exitStatus();
+    }
+
     /** Finds a code by its number. */
     static Optional<ResultCode> code(int number) {
         return Arrays.stream(ResultCode.values())
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/SubmitCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/SubmitCommand.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.cli;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -9,6 +10,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.declare.Declaration;
 import io.pollenreach.daemon.internal.declare.DeclarationFiles;
@@ -35,15 +37,29 @@
         if (other.isPresent()) {
             throw usage(other.get().title() + " is not a job; use apply for it.");
         }
+        List<Declaration> accepted = new ArrayList<>();
+        int status = ResultCode.OK.exitStatus();
         for (Declaration job : jobs) {
-            JsonNode accepted = api.put(job.path(), job.envelope(), Optional.empty());
+            int one = submit(job, console, api);
+            status = Math.max(status, one);
+            if (one == ResultCode.OK.exitStatus()) {
+                accepted.add(job);
+            }
+        }
+        return wait ? Math.max(status, follow(accepted, console, api)) : status;
+    }
+
+    private int submit(Declaration job, Console console, ApiClient api) {
+        try {
+            JsonNode row = api.put(job.path(), job.envelope(), Optional.empty());
             if (!json()) {
-                console.out()
-                        .println(job.title() + " accepted, version "
-                                + accepted.path("version").asLong());
+                long version = row.path("version").asLong();
+                console.out().println(job.title() + " accepted, version " + version);
             }
+            return ResultCode.OK.exitStatus();
+        } catch (PollenreachException e) {
+            return Errors.reportOne(job, e, console);
         }
-        return wait ? follow(jobs, console, api) : ResultCode.OK.exitStatus();
     }
 
     private int follow(List<Declaration> jobs, Console console, ApiClient api) throws InterruptedException {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/cli/CommandLineTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/cli/CommandLineTest.java
@@ -113,6 +113,20 @@
         assertThat(text(err)).contains("z.yaml:3: spec.share: 1004", "spec.maxAccelerators: 1003");
     }
 
+    @Test
+    void submitGoesOnWithTheOtherJobsWhenOneIsRefused() throws IOException {
+        String job = "kind: Job\nworkspace: tejo\nname: %s\n"
+                + "spec: {shape: {parts: 1, acceleratorsPerPart: 1}, command: x}\n";
+        Path file = Files.writeString(
+                dir.resolve("jobs.yaml"), job.formatted("cert-1") + "---\n" + job.formatted("cert-2"));
+        rows.refuse(JOB, ResultCode.EXISTS);
+
+        assertThat(run("submit", "-f", file.toString())).isEqualTo(ResultCode.EXISTS.exitStatus());
+
+        assertThat(text(err)).contains("Job/tejo/cert-1: error 5002");
+        assertThat(text(out)).contains("Job/tejo/cert-2 accepted");
+    }
+
     @Test
     void triesTheNextServerWhenOneIsDown() throws Exception {
         first.close();
@@ -220,7 +234,7 @@
             })
     void refusesBadUseWithTheGroupOfBadInput(String args) {
         assertThat(run(args.split(" "))).isEqualTo(ResultCode.MALFORMED.exitStatus());
-        assertThat(text(err)).isNotBlank();
+        assertThat(text(err)).isNotBlank().doesNotContain("1001");
     }
 
     @ParameterizedTest
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/cli/FakeServer.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/cli/FakeServer.java
@@ -21,6 +21,7 @@
     static final class Rows {
         private final Map<String, ObjectNode> rows = new HashMap<>();
         private final List<String> calls = new ArrayList<>();
+        private final Map<String, ResultCode> refusals = new HashMap<>();
 
         synchronized Optional<ObjectNode> get(String path) {
             return Optional.ofNullable(rows.get(path)).map(ObjectNode::deepCopy);
@@ -38,6 +39,15 @@
             return row;
         }
 
+        /** Answers writes of one row with a code. */
+        synchronized void refuse(String path, ResultCode code) {
+            refusals.put(path, code);
+        }
+
+        private synchronized Optional<ResultCode> refusal(String path) {
+            return Optional.ofNullable(refusals.get(path));
+        }
+
         private synchronized void record(String call) {
             calls.add(call);
         }
@@ -114,6 +124,11 @@
 
     private void put(Context ctx, String path, byte[] body) throws IOException {
         beforePut.run();
+        Optional<ResultCode> refused = rows.refusal(path);
+        if (refused.isPresent()) {
+            error(ctx, refused.get());
+            return;
+        }
         long version = rows.get(path).map(r -> r.path("version").asLong()).orElse(0L);
         String match = ctx.getRequest().getHeaders().get("If-Match");
         if (match != null && Long.parseLong(match) != version) {
