Tell an entry's own load at a runner from that of others

Cause: entries judged runners by reports up to 250 ms old and took a slot that their own answer had just freed for busy; and an entry whose peers refill their slots at once was kept out for good. Change: InFlight takes off what this entry had in flight when the report came (V2), and counts others for no more than their part of the slots (V3). V1 stays runnable.

--- a/bench/src/main/java/io/pollenreach/bench/experiment/Experiment.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/Experiment.java
@@ -13,9 +13,11 @@
  */
 final class Experiment {
     private final List<PolicyVersion> versions;
+    private final List<Demand> demands;
     private final List<Long> seeds;
 
-    Experiment(List<PolicyVersion> versions, List<Long> seeds) {
+    Experiment(List<PolicyVersion> versions, List<Demand> demands, List<Long> seeds) {
+        this.demands = List.copyOf(demands);
         this.versions = List.copyOf(versions);
         this.seeds = List.copyOf(seeds);
     }
@@ -25,7 +27,7 @@
         Workload w = Workload.load(workload);
         List<Row> rows = new ArrayList<>();
         for (Scenario s : Scenario.values()) {
-            for (Demand d : Demand.values()) {
+            for (Demand d : demands) {
                 if (d.meets(s)) {
                     versions.forEach(v -> rows.add(new Row(w.name(), s, d, v, runSeeds(w, s, d, v))));
                 }
--- a/bench/src/main/java/io/pollenreach/bench/experiment/ExperimentCommand.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/ExperimentCommand.java
@@ -4,7 +4,6 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 
 import com.github.rvesse.airline.annotations.Command;
@@ -27,6 +26,9 @@
     @Option(name = "--policy", description = "A policy by name; all when absent")
     private List<String> policies = new ArrayList<>();
 
+    @Option(name = "--demand", description = "REQUESTS or JOBS; both when absent")
+    private List<String> demands = new ArrayList<>();
+
     @Option(name = "--html", description = "A file for the report with plots")
     private String html = "";
 
@@ -38,8 +40,12 @@
         }
         List<PolicyVersion> versions = new ArrayList<>();
         policies.forEach(p -> versions.add(PolicyVersion.valueOf(p)));
-        Experiment experiment =
-                new Experiment(versions.isEmpty() ? Arrays.asList(PolicyVersion.values()) : versions, list);
+        List<Experiment.Demand> kinds = new ArrayList<>();
+        demands.forEach(d -> kinds.add(Experiment.Demand.valueOf(d)));
+        Experiment experiment = new Experiment(
+                versions.isEmpty() ? List.of(PolicyVersion.values()) : versions,
+                kinds.isEmpty() ? List.of(Experiment.Demand.values()) : kinds,
+                list);
         List<Experiment.Row> rows = new ArrayList<>();
         for (String w : workloads.isEmpty() ? List.of("retorno", "cascade") : workloads) {
             rows.addAll(experiment.run(w));
--- a/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
@@ -10,11 +10,12 @@
 /**
  * The policies that experiments compare; earlier versions of ours stay runnable.
  *
- * <p>Immutable; each constant creates the decision classes with its own options.
+ * <p>Each version adds one change to the one before. Immutable; each constant creates the decision classes with its own
+ * options.
  */
 enum PolicyVersion {
     /** Round robin, first come first served, first fit. */
-    BASELINE {
+    BASELINE(RequestOptions.NONE) {
         @Override
         Router router(Workload.Links links) {
             return new RoundRobinRouter();
@@ -24,24 +25,19 @@
         Placer placer() {
             return new BaselinePlacer();
         }
-
-        @Override
-        RequestOptions requests() {
-            return new RequestOptions(false, 0, false, false, false);
-        }
     },
     /** Guarantees, best fit and least expected wait, with waiting requests in order of arrival. */
-    V1 {
-        @Override
-        Placer placer() {
-            return GuaranteedPlacer.builder().reserveAfterMs(0).build();
-        }
+    V1(RequestOptions.NONE.withQueue(0)),
+    /** Entries tell their own load at a runner from that of other entries. */
+    V2(V1.requests.withOthersCounted()),
+    /** Entries may always fill their part of a runner's slots. */
+    V3(V2.requests.withOwnPart());
 
-        @Override
-        RequestOptions requests() {
-            return new RequestOptions(true, 0, false, false, false);
-        }
-    };
+    private final RequestOptions requests;
+
+    PolicyVersion(RequestOptions requests) {
+        this.requests = requests;
+    }
 
     /** Creates the router. */
     Router router(Workload.Links links) {
@@ -49,20 +45,12 @@
     }
 
     /** Creates the placer. */
-    abstract Placer placer();
+    Placer placer() {
+        return GuaranteedPlacer.builder().reserveAfterMs(0).build();
+    }
 
     /** Returns how entries treat requests. */
-    abstract RequestOptions requests();
-
-    /**
-     * How entries treat requests.
-     *
-     * @param queued whether requests wait at the entry by shares, else at the runner
-     * @param ageing the ageing of the queue; 0 for the order of arrival
-     * @param adaptiveLimit whether the requests in flight to each runner are limited by what its answers show
-     * @param hedging whether late idempotent requests are sent to a second runner
-     * @param dropHopeless whether requests that can't be answered in time are refused
-     */
-    record RequestOptions(
-            boolean queued, double ageing, boolean adaptiveLimit, boolean hedging, boolean dropHopeless) {}
+    RequestOptions requests() {
+        return requests;
+    }
 }
--- a/bench/src/main/java/io/pollenreach/bench/experiment/SimEntry.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/SimEntry.java
@@ -11,6 +11,7 @@
 import io.pollenreach.internal.routing.AdaptiveLimit;
 import io.pollenreach.internal.routing.FairQueue;
 import io.pollenreach.internal.routing.HedgePolicy;
+import io.pollenreach.internal.routing.InFlight;
 import io.pollenreach.internal.routing.LengthEstimator;
 import io.pollenreach.internal.routing.RetryBudget;
 import io.pollenreach.internal.routing.Route;
@@ -30,13 +31,14 @@
 
     final String zone;
     private final RequestTrial trial;
-    private final PolicyVersion.RequestOptions options;
+    private final RequestOptions options;
     private final Router router;
     private final FairQueue<Request> queue;
     private final LengthEstimator lengths = new LengthEstimator(DEFAULT_LENGTH_MS);
     private final RetryBudget budget = new RetryBudget(RETRY_FRACTION, RETRY_CAPACITY);
     private final HedgePolicy hedging = new HedgePolicy();
     private final Map<SimRunner, RunnerRecord> records = new HashMap<>();
+    private final InFlight inFlight = new InFlight();
     private long turn;
 
     SimEntry(String zone, RequestTrial trial, PolicyVersion version) {
@@ -105,7 +107,7 @@
 
     private List<RunnerView> views() {
         List<RunnerView> views = new ArrayList<>();
-        trial.runners().forEach(r -> views.add(records.get(r).view(options.adaptiveLimit())));
+        trial.runners().forEach(r -> views.add(records.get(r).view()));
         return views;
     }
 
@@ -113,7 +115,7 @@
         Attempt a = new Attempt(r, this, runner, trial.loop().now());
         r.tried.add(runner.id);
         r.copies++;
-        records.get(runner).inFlight++;
+        inFlight.sent(runner.id);
         trial.network().send(zone, runner.zone, () -> trial.deliver(a));
         if (options.hedging() && !r.hedged) {
             OptionalLong delay = hedging.delayMs(
@@ -182,8 +184,8 @@
     private void end(Attempt a, double tookMs, boolean overloaded) {
         RunnerRecord record = records.get(a.runner);
         double expected = lengths.expectedMs(a.request.kind.workspace(), a.request.kind.name());
-        record.limit.record(record.inFlight, tookMs, expected, overloaded);
-        record.inFlight--;
+        record.limit.record(inFlight.at(a.runner.id), tookMs, expected, overloaded);
+        inFlight.returned(a.runner.id);
         a.ended = true;
     }
 
@@ -205,7 +207,7 @@
         private int inUse;
         private int queued;
         private double meanServiceMs;
-        private int inFlight;
+        private long reports;
         private int failures;
         private boolean usable = true;
 
@@ -216,15 +218,33 @@
         }
 
         void report(int inUse, int queued, double meanServiceMs) {
+            this.reports++;
             this.inUse = inUse;
             this.queued = queued;
             this.meanServiceMs = meanServiceMs;
         }
 
-        RunnerView view(boolean limited) {
-            int slots = limited ? limit.limit() : trial.workload().runners().slots();
-            return new RunnerView(
-                    runner.id, runner.zone, "", slots, inUse, queued, inFlight, meanServiceMs, failures, usable);
+        RunnerView view() {
+            int slots = options.adaptiveLimit()
+                    ? limit.limit()
+                    : trial.workload().runners().slots();
+            RunnerView v = new RunnerView(
+                    runner.id,
+                    runner.zone,
+                    "",
+                    slots,
+                    inUse,
+                    queued,
+                    inFlight.at(runner.id),
+                    meanServiceMs,
+                    failures,
+                    usable);
+            return options.countOthers()
+                    ? inFlight.update(
+                            v,
+                            reports,
+                            options.ownPart() ? trial.workload().runners().entries() : slots)
+                    : v;
         }
     }
 }
--- a/bench/src/main/java/io/pollenreach/bench/experiment/TableReport.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/TableReport.java
@@ -10,6 +10,9 @@
 
     static void print(List<Experiment.Row> rows, PrintStream out) {
         for (Experiment.Demand d : Experiment.Demand.values()) {
+            if (rows.stream().noneMatch(r -> r.demand() == d)) {
+                continue;
+            }
             out.println();
             out.println("### " + d.name().toLowerCase(Locale.ROOT));
             out.println();
--- a/bench/src/test/java/io/pollenreach/bench/experiment/ExperimentTest.java
+++ b/bench/src/test/java/io/pollenreach/bench/experiment/ExperimentTest.java
@@ -39,7 +39,9 @@
     }
 
     private static String table(String workload, long seed) {
-        List<Experiment.Row> rows = new Experiment(List.of(PolicyVersion.V1), List.of(seed)).run(workload);
+        List<Experiment.Row> rows = new Experiment(
+                        List.of(PolicyVersion.V1), List.of(Experiment.Demand.values()), List.of(seed))
+                .run(workload);
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         TableReport.print(rows, new PrintStream(bytes, true, StandardCharsets.UTF_8));
         return bytes.toString(StandardCharsets.UTF_8);
--- /dev/null
+++ b/core/src/test/java/io/pollenreach/internal/routing/InFlightTest.java
@@ -0,0 +1,36 @@
+package io.pollenreach.internal.routing;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class InFlightTest {
+    private final InFlight inFlight = new InFlight();
+
+    @Test
+    void slotFreedByAnOwnAnswerIsFreeBeforeTheNextReport() {
+        send(8);
+        assertThat(inFlight.update(reported(8, 0), 1, 1).inUse()).isEqualTo(8);
+        inFlight.returned("r");
+        assertThat(inFlight.update(reported(8, 0), 1, 1).inUse()).isEqualTo(7);
+    }
+
+    @Test
+    void loadOfOtherEntriesIsAddedToTheOwn() {
+        send(2);
+        inFlight.update(reported(7, 1), 1, 1);
+        send(1);
+        RunnerView v = inFlight.update(reported(7, 1), 1, 1);
+        assertThat(v.inUse() + v.queued()).isEqualTo(9);
+    }
+
+    private void send(int n) {
+        for (int i = 0; i < n; i++) {
+            inFlight.sent("r");
+        }
+    }
+
+    private static RunnerView reported(int inUse, int queued) {
+        return new RunnerView("r", "z", "", 8, inUse, queued, 0, 10, 0, true);
+    }
+}
