Send runners enough requests to keep their slots busy

Cause: an answer and the next request are on the way for up to two zone distances, in which a slot of a runner with short work stands idle; Retorno's certificates take 40 ms and zones are 5 ms apart. Change: a runner has room for its slots times one plus the way over its mean service time, half the slots at most.

--- a/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
@@ -31,7 +31,9 @@
     /** Entries tell their own load at a runner from that of other entries. */
     V2(V1.requests.withOthersCounted()),
     /** Entries may always fill their part of a runner's slots. */
-    V3(V2.requests.withOwnPart());
+    V3(V2.requests.withOwnPart()),
+    /** Runners get enough requests to keep their slots busy while answers travel. */
+    V4(V3.requests.withWayCovered());
 
     private final RequestOptions requests;
 
@@ -41,7 +43,10 @@
 
     /** Creates the router. */
     Router router(Workload.Links links) {
-        return LoadRouter.builder().zoneDistanceMs(links.zoneDelayMs()).build();
+        return LoadRouter.builder()
+                .zoneDistanceMs(links.zoneDelayMs())
+                .coverWay(requests.coverWay())
+                .build();
     }
 
     /** Creates the placer. */
--- a/core/src/main/java/io/pollenreach/internal/routing/LoadRouter.java
+++ b/core/src/main/java/io/pollenreach/internal/routing/LoadRouter.java
@@ -11,21 +11,24 @@
  *
  * <p>The expected time is the wait for a slot, the service time, the way between zones and a penalty for recent
  * failures. Drawing only a few keeps entries with equally old reports from sending everything to the same runner.
- * Runners without a free slot are passed over, so that requests wait where shares and order can still act on them.
+ * Runners without room are passed over, so that requests wait where shares and order can still act on them.
  *
  * <p>Immutable, so safe for use by many threads.
  */
 public final class LoadRouter implements Router {
+    /** The most requests beyond the slots, as a fraction of the slots. */
+    private static final double MAX_ON_THE_WAY = 0.5;
+
     private final int choices;
     private final double zoneDistanceMs;
     private final int setAsideFailures;
-    private final double slotsFactor;
+    private final boolean coverWay;
 
     private LoadRouter(Builder b) {
         this.choices = b.choices;
         this.zoneDistanceMs = b.zoneDistanceMs;
         this.setAsideFailures = b.setAsideFailures;
-        this.slotsFactor = b.slotsFactor;
+        this.coverWay = b.coverWay;
     }
 
     /** Returns a builder with the defaults. */
@@ -44,7 +47,7 @@
                 unusable++;
             } else if (tried.contains(r.id())) {
                 continue;
-            } else if (load(r) >= r.slots() * slotsFactor) {
+            } else if (load(r) >= room(r)) {
                 full++;
             } else {
                 (failing(r) ? failing : able).add(r);
@@ -79,6 +82,15 @@
         return setAsideFailures > 0 && r.recentFailures() >= setAsideFailures;
     }
 
+    /** Returns how many requests may be at a runner, those on their way included. */
+    private double room(RunnerView r) {
+        if (!coverWay || r.meanServiceMs() <= 0) {
+            return r.slots();
+        }
+        double onTheWay = 2 * zoneDistanceMs / r.meanServiceMs();
+        return r.slots() * (1 + Math.min(MAX_ON_THE_WAY, onTheWay));
+    }
+
     /** The report counts what this entry had sent before it; newer ones are known only here. */
     private static int load(RunnerView r) {
         return Math.max(r.inUse() + r.queued(), r.sentSince());
@@ -103,7 +115,7 @@
         private int choices = CHOICES;
         private double zoneDistanceMs = ZONE_DISTANCE_MS;
         private int setAsideFailures = SET_ASIDE_FAILURES;
-        private double slotsFactor = 1;
+        private boolean coverWay = true;
 
         private Builder() {}
 
@@ -125,9 +137,9 @@
             return this;
         }
 
-        /** Sets up to how many requests for each slot a runner is taken to have room. */
-        public Builder slotsFactor(double factor) {
-            this.slotsFactor = factor;
+        /** Sets whether runners get more requests than slots, so that slots are not idle while answers travel. */
+        public Builder coverWay(boolean cover) {
+            this.coverWay = cover;
             return this;
         }
 
