--- a/core/src/test/java/io/pollenreach/internal/routing/InFlightTest.java
+++ b/core/src/test/java/io/pollenreach/internal/routing/InFlightTest.java
@@ -18,12 +18,17 @@
     @Test
     void loadOfOtherEntriesIsAddedToTheOwn() {
         send(2);
-        inFlight.update(reported(7, 1), 1, 1);
+        inFlight.update(reported(7, 1), 1, 8);
         send(1);
-        RunnerView v = inFlight.update(reported(7, 1), 1, 1);
+        RunnerView v = inFlight.update(reported(7, 1), 1, 8);
         assertThat(v.inUse() + v.queued()).isEqualTo(9);
     }
 
+    @Test
+    void entryMayAlwaysFillItsPartOfTheSlots() {
+        assertThat(inFlight.update(reported(8, 4), 1, 4).inUse()).isEqualTo(6);
+    }
+
     private void send(int n) {
         for (int i = 0; i < n; i++) {
             inFlight.sent("r");
