Let a guaranteed shape cover as many jobs as fit into it

Cause: one small urgent job used up a whole guaranteed shape, so the burst behind it had to borrow. Change: GuaranteeRoom counts what is left of each shape. A job that was placed within a guarantee keeps its standing when another order of entering leaves it without room, unless the workspace holds more than it is guaranteed.

--- a/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
@@ -33,7 +33,14 @@
     /** Entries may always fill their part of a runner's slots. */
     V3(V2.requests.withOwnPart()),
     /** Runners get enough requests to keep their slots busy while answers travel. */
-    V4(V3.requests.withWayCovered());
+    V4(V3.requests.withWayCovered()),
+    /** A guaranteed shape covers as many jobs as fit into it. */
+    V5(V4.requests) {
+        @Override
+        GuaranteedPlacer.Builder placement() {
+            return V4.placement().divisible(true);
+        }
+    };
 
     private final RequestOptions requests;
 
@@ -51,7 +58,12 @@
 
     /** Creates the placer. */
     Placer placer() {
-        return GuaranteedPlacer.builder().reserveAfterMs(0).build();
+        return placement().build();
+    }
+
+    /** Returns the options of the placer. */
+    GuaranteedPlacer.Builder placement() {
+        return GuaranteedPlacer.builder().divisible(false).reserveAfterMs(0);
     }
 
     /** Returns how entries treat requests. */
--- a/core/src/main/java/io/pollenreach/internal/placement/BaselinePlacer.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/BaselinePlacer.java
@@ -19,7 +19,7 @@
     public List<Decision> decide(ClusterView view, List<WaitingJob> queue, long seed) {
         List<WorkerState> workers = new ArrayList<>();
         view.workers().forEach(w -> workers.add(new WorkerState(w, w.usable())));
-        GuaranteeLedger ledger = new GuaranteeLedger(view);
+        GuaranteeLedger ledger = new GuaranteeLedger(view, false);
         Victims none = new Victims(List.of(), ledger.outside(), false);
         GangFitter fitter = new GangFitter(workers, none, false);
         List<WaitingJob> order = new ArrayList<>(queue);
@@ -57,8 +57,8 @@
                 .forEach((s, n) ->
                         s.take(n * shape.acceleratorsPerPart(), c.get().victims()));
         ledger.use(w.name(), shape.accelerators());
-        boolean within = ledger.smallestFit(w.name(), shape).isPresent();
-        ledger.smallestFit(w.name(), shape).ifPresent(s -> ledger.take(w.name(), s));
-        return new Decision.Place(key, c.get().parts(shape), List.of(), !within, "first fit");
+        Optional<GuaranteeRoom> room = ledger.find(w.name(), shape);
+        room.ifPresent(r -> r.take(shape));
+        return new Decision.Place(key, c.get().parts(shape), List.of(), room.isEmpty(), "first fit");
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/placement/GuaranteeLedger.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteeLedger.java
@@ -8,69 +8,84 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.pollenreach.Shape;
-import io.pollenreach.Workspace;
 
 /**
- * Which guaranteed shapes of each workspace are in use.
+ * What is left of the guaranteed shapes of each workspace, and what each workspace uses.
  *
- * <p>Invariant: each guaranteed shape is used by at most one job. Confined to one round, so not safe for use by many
- * threads.
+ * <p>Confined to one round, so not safe for use by many threads.
  */
 final class GuaranteeLedger {
-    private static final Comparator<Shape> BY_SIZE =
-            Comparator.comparingInt(Shape::accelerators).thenComparingInt(Shape::parts);
+    private static final Comparator<PlacedJob> LARGEST_FIRST = Comparator.comparingInt(
+                    (PlacedJob p) -> p.spec().shape().accelerators())
+            .reversed()
+            .thenComparing(p -> p.spec().key());
 
-    private final Map<String, List<Shape>> unused = new HashMap<>();
+    private final Map<String, List<GuaranteeRoom>> rooms = new HashMap<>();
     private final Map<String, Integer> used = new HashMap<>();
     private final Set<String> outside = new HashSet<>();
 
-    GuaranteeLedger(ClusterView view) {
-        view.workspaces().forEach((name, w) -> unused.put(name, sorted(w)));
-        List<PlacedJob> within = new ArrayList<>();
-        for (PlacedJob p : view.placed().values()) {
-            used.merge(p.spec().workspace(), p.spec().shape().accelerators(), Integer::sum);
+    GuaranteeLedger(ClusterView view, boolean divisible) {
+        view.workspaces()
+                .forEach((name, w) -> rooms.put(
+                        name,
+                        w.guarantees().stream()
+                                .map(s -> new GuaranteeRoom(s, divisible))
+                                .collect(Collectors.toList())));
+        Map<String, Integer> within = new HashMap<>();
+        List<PlacedJob> order = new ArrayList<>(view.placed().values());
+        order.sort(LARGEST_FIRST);
+        for (PlacedJob p : order) {
+            String workspace = p.spec().workspace();
+            int accelerators = p.spec().shape().accelerators();
+            used.merge(workspace, accelerators, Integer::sum);
             if (!p.borrowed()) {
-                within.add(p);
+                int total = within.merge(workspace, accelerators, Integer::sum);
+                enter(view, p, total);
             }
         }
-        within.sort(Comparator.comparing((PlacedJob p) -> p.spec().shape(), BY_SIZE.reversed())
-                .thenComparing(p -> p.spec().key()));
-        for (PlacedJob p : within) {
-            Optional<Shape> shape = smallestFit(p.spec().workspace(), p.spec().shape());
-            if (shape.isPresent()) {
-                take(p.spec().workspace(), shape.get());
-            } else {
-                outside.add(p.spec().key());
-            }
-        }
-    }
-
-    private static List<Shape> sorted(Workspace w) {
-        List<Shape> shapes = new ArrayList<>(w.guarantees());
-        shapes.sort(BY_SIZE);
-        return shapes;
     }
 
-    /** Returns the smallest unused guaranteed shape that holds a gang. */
-    Optional<Shape> smallestFit(String workspace, Shape shape) {
-        return unused.getOrDefault(workspace, List.of()).stream()
-                .filter(shape::fitsInto)
-                .findFirst();
+    /**
+     * Enters a job that was placed within a guarantee. One that finds no room only because jobs are entered in another
+     * order now than they came keeps its standing, unless the workspace holds more than it is guaranteed.
+     */
+    private void enter(ClusterView view, PlacedJob p, int total) {
+        String workspace = p.spec().workspace();
+        Optional<GuaranteeRoom> room = find(workspace, p.spec().shape());
+        if (room.isPresent()) {
+            room.get().take(p.spec().shape());
+            return;
+        }
+        int guaranteed = view.workspaces().containsKey(workspace)
+                ? view.workspaces().get(workspace).guaranteedAccelerators()
+                : 0;
+        if (total > guaranteed) {
+            outside.add(p.spec().key());
+        }
     }
 
-    /** Marks a guaranteed shape as used. */
-    void take(String workspace, Shape shape) {
-        unused.get(workspace).remove(shape);
+    /** Returns the smallest room of a workspace's guarantees that holds a gang. */
+    Optional<GuaranteeRoom> find(String workspace, Shape shape) {
+        return rooms.getOrDefault(workspace, List.of()).stream()
+                .filter(r -> r.holds(shape))
+                .min(Comparator.comparingInt(GuaranteeRoom::free));
     }
 
-    /** Returns the guaranteed shapes of all workspaces that nobody uses, without one of the given workspace. */
-    List<Shape> unusedBut(String workspace, Shape shape) {
+    /** Returns what all workspaces may still ask for once a gang has been put into one of the rooms. */
+    List<Shape> restAfter(GuaranteeRoom room, Shape gang) {
         List<Shape> rest = new ArrayList<>();
-        unused.values().forEach(rest::addAll);
-        if (unused.getOrDefault(workspace, List.of()).contains(shape)) {
-            rest.remove(shape);
+        for (List<GuaranteeRoom> list : rooms.values()) {
+            for (GuaranteeRoom r : list) {
+                GuaranteeRoom after = r;
+                if (r == room) {
+                    after = r.copy();
+                    after.take(gang);
+                }
+                rest.addAll(after.rest());
+            }
         }
         return rest;
     }
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteeRoom.java
@@ -0,0 +1,82 @@
+package io.pollenreach.internal.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import io.pollenreach.Shape;
+
+/**
+ * What is left of one guaranteed shape.
+ *
+ * <p>Invariant: the parts of the jobs inside never need more accelerators than the parts of the shape have. Confined to
+ * one round, so not safe for use by many threads.
+ */
+final class GuaranteeRoom {
+    private final Shape shape;
+    private final boolean divisible;
+    private final int[] left;
+
+    /** Creates an unused room; one that is not divisible takes a single job. */
+    GuaranteeRoom(Shape shape, boolean divisible) {
+        this.shape = shape;
+        this.divisible = divisible;
+        this.left = new int[shape.parts()];
+        Arrays.fill(left, shape.acceleratorsPerPart());
+    }
+
+    Shape shape() {
+        return shape;
+    }
+
+    int free() {
+        return Arrays.stream(left).sum();
+    }
+
+    boolean holds(Shape gang) {
+        if (gang.adjacency().compareTo(shape.adjacency()) < 0) {
+            return false;
+        }
+        int parts = 0;
+        for (int n : left) {
+            parts += n / gang.acceleratorsPerPart();
+        }
+        return parts >= gang.parts() && (divisible || gang.fitsInto(shape));
+    }
+
+    void take(Shape gang) {
+        Arrays.sort(left);
+        int missing = gang.parts();
+        for (int i = 0; i < left.length && missing > 0; i++) {
+            int n = Math.min(missing, left[i] / gang.acceleratorsPerPart());
+            left[i] -= n * gang.acceleratorsPerPart();
+            missing -= n;
+        }
+        if (!divisible) {
+            Arrays.fill(left, 0);
+        }
+    }
+
+    /** Returns what may still be asked for: the parts that are whole together, and each cut one by itself. */
+    List<Shape> rest() {
+        List<Shape> rest = new ArrayList<>();
+        int whole = 0;
+        for (int n : left) {
+            if (n == shape.acceleratorsPerPart()) {
+                whole++;
+            } else if (n > 0) {
+                rest.add(new Shape(1, n, shape.adjacency()));
+            }
+        }
+        if (whole > 0) {
+            rest.add(new Shape(whole, shape.acceleratorsPerPart(), shape.adjacency()));
+        }
+        return rest;
+    }
+
+    GuaranteeRoom copy() {
+        GuaranteeRoom copy = new GuaranteeRoom(shape, divisible);
+        System.arraycopy(left, 0, copy.left, 0, left.length);
+        return copy;
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
@@ -7,7 +7,7 @@
  *
  * <p>Jobs within an unused guaranteed shape of their workspace go first and may stop borrowers. All others borrow free
  * room up to the workspace's limit. {@link io.pollenreach.Urgency#BATCH} work always borrows. A guaranteed shape covers
- * one job at a time. A job whose shape no set of known workers could hold is refused with
+ * as many jobs as fit into it together. A job whose shape no set of known workers could hold is refused with
  * {@link io.pollenreach.ResultCode#NEVER_RUNNABLE}; as workers may be unknown for a while, the caller decides how long
  * to disbelieve that.
  *
@@ -40,6 +40,7 @@
         private static final int SET_ASIDE_FAILURES = 3;
         private static final long RESERVE_AFTER_MS = 60_000;
 
+        private boolean divisible = true;
         private boolean bestFit = true;
         private boolean fairShare = true;
         private boolean leastLostWork = true;
@@ -48,6 +49,12 @@
 
         private Builder() {}
 
+        /** Sets whether a guaranteed shape covers as many jobs as fit into it, else one at a time. */
+        public Builder divisible(boolean divisible) {
+            this.divisible = divisible;
+            return this;
+        }
+
         /** Sets whether free room is chosen so that whole racks and workers stay free. */
         public Builder bestFit(boolean bestFit) {
             this.bestFit = bestFit;
@@ -80,8 +87,8 @@
 
         /** Creates the placer. */
         public GuaranteedPlacer build() {
-            return new GuaranteedPlacer(
-                    new PlacementOptions(bestFit, fairShare, leastLostWork, setAsideFailures, reserveAfterMs));
+            return new GuaranteedPlacer(new PlacementOptions(
+                    divisible, bestFit, fairShare, leastLostWork, setAsideFailures, reserveAfterMs));
         }
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/placement/PlacementOptions.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/PlacementOptions.java
@@ -5,6 +5,7 @@
  *
  * <p>Immutable.
  *
+ * @param divisible whether a guaranteed shape covers as many jobs as fit into it, else one at a time
  * @param bestFit whether free room is chosen so that whole racks and workers stay free, else the first that fits
  * @param fairShare whether the workspace that uses least of its share goes first, else the longest waiting job
  * @param leastLostWork whether the victims are those that lose least work, else those that hold least
@@ -12,4 +13,9 @@
  * @param reserveAfterMs how long a job waits before room is kept for it, in milliseconds; 0 for never
  */
 record PlacementOptions(
-        boolean bestFit, boolean fairShare, boolean leastLostWork, int setAsideFailures, long reserveAfterMs) {}
+        boolean divisible,
+        boolean bestFit,
+        boolean fairShare,
+        boolean leastLostWork,
+        int setAsideFailures,
+        long reserveAfterMs) {}
--- a/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
@@ -33,7 +33,7 @@
     PlacementRound(ClusterView view, PlacementOptions options, long seed) {
         this.view = view;
         this.options = options;
-        this.ledger = new GuaranteeLedger(view);
+        this.ledger = new GuaranteeLedger(view, options.divisible());
         this.victims = new Victims(view.workers(), ledger.outside(), options.leastLostWork());
         Set<String> aside = SetAside.of(view.workers(), options.setAsideFailures());
         for (WorkerView w : view.workers()) {
@@ -63,9 +63,9 @@
         List<WaitingJob> others = new ArrayList<>();
         JobOrder first = order(runnable);
         for (Optional<WaitingJob> j = first.poll(); j.isPresent(); j = first.poll()) {
-            Optional<Shape> shape = guarantee(j.get());
-            if (shape.isPresent()) {
-                placeWithin(j.get(), shape.get());
+            Optional<GuaranteeRoom> room = guarantee(j.get());
+            if (room.isPresent()) {
+                placeWithin(j.get(), room.get());
             } else {
                 others.add(j.get());
             }
@@ -81,9 +81,9 @@
         return new JobOrder(jobs, view.workspaces(), ledger, options.fairShare());
     }
 
-    private Optional<Shape> guarantee(WaitingJob j) {
+    private Optional<GuaranteeRoom> guarantee(WaitingJob j) {
         return j.spec().urgency().reclaims()
-                ? ledger.smallestFit(j.spec().workspace(), j.spec().shape())
+                ? ledger.find(j.spec().workspace(), j.spec().shape())
                 : Optional.empty();
     }
 
@@ -97,7 +97,7 @@
         decisions.add(new Decision.Wait(j.spec().key(), reason));
     }
 
-    private void placeWithin(WaitingJob j, Shape guarantee) {
+    private void placeWithin(WaitingJob j, GuaranteeRoom guarantee) {
         String key = j.spec().key();
         Shape shape = j.spec().shape();
         Set<AttemptId> forced = ownBorrowersOverLimit(j);
@@ -112,12 +112,12 @@
         if (chosen.isEmpty()) {
             pause(
                     j,
-                    "guaranteed " + Feasibility.text(guarantee) + " but no group of usable workers holds "
+                    "guaranteed " + Feasibility.text(guarantee.shape()) + " but no group of usable workers holds "
                             + Feasibility.text(shape));
             return;
         }
-        ledger.take(j.spec().workspace(), guarantee);
-        place(j, chosen.get(), false, "within guarantee " + Feasibility.text(guarantee));
+        guarantee.take(shape);
+        place(j, chosen.get(), false, "within guarantee " + Feasibility.text(guarantee.shape()));
     }
 
     /** Returns own borrowers that must stop so that the workspace stays within its limit. */
@@ -136,8 +136,8 @@
         return forced;
     }
 
-    private Optional<Candidate> keepingGuarantees(WaitingJob j, Shape guarantee, List<Candidate> found) {
-        List<Shape> rest = ledger.unusedBut(j.spec().workspace(), guarantee);
+    private Optional<Candidate> keepingGuarantees(WaitingJob j, GuaranteeRoom guarantee, List<Candidate> found) {
+        List<Shape> rest = ledger.restAfter(guarantee, j.spec().shape());
         return found.stream()
                 .limit(MAX_PACKING_TRIES)
                 .filter(c -> leavesRoom(c, j.spec().shape(), rest))
--- a/core/src/test/java/io/pollenreach/internal/placement/GuaranteedPlacerTest.java
+++ b/core/src/test/java/io/pollenreach/internal/placement/GuaranteedPlacerTest.java
@@ -64,6 +64,15 @@
         assertThat(p.victims()).extracting(AttemptId::job).containsExactly("b/j3", "b/j4", "b/j5");
     }
 
+    @Test
+    void guaranteedShapeCoversAsManyJobsAsFitIntoIt() {
+        SampleCluster c = new SampleCluster().workers(1, 1, 8).workspace("a", 8, WHOLE);
+        for (int i = 0; i < 4; i++) {
+            c.submit("a", "small" + i, new Shape(1, 2, Adjacency.ANY), Urgency.URGENT);
+        }
+        assertThat(c.run(placer, 1).values()).allMatch(d -> !((Decision.Place) d).borrowed());
+    }
+
     @Test
     void batchWorkNeverReclaims() {
         SampleCluster c = new SampleCluster().workers(1, 1, 8).workspace("a", 8, WHOLE);
