Test that another entry's open claim is asked about

Cause: the broken variant 'a foreign claim is sent' passed all tests of the request path. Ruled out: the repeated request of the existing test, which finds the answer recorded and never inquires. Change: a test that starts from another entry's row without an outcome.

--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
@@ -11,6 +11,7 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.Workspace;
 import io.pollenreach.daemon.internal.platform.Write;
+import io.pollenreach.internal.claims.ClaimRow;
 import io.pollenreach.internal.json.Json;
 import io.pollenreach.internal.membership.EntryView;
 import io.pollenreach.internal.routing.LoadRouter;
@@ -123,6 +124,17 @@
         assertThat(rpc.calls(Execute.class)).hasSize(1);
     }
 
+    @Test
+    void openClaimOfAnotherEntryIsAskedAboutAndNeverSentFromHere() {
+        CallerRequest r = request("1", false, LONG_MS);
+        ClaimRow theirs = ClaimRow.create("1", "tejo", r.digest(), "r1", "10.0.0.9:1", 1, "their-nonce");
+        new ClaimStore(table, null).create(theirs).join();
+        rpc.answer((a, m) -> FakeRpc.done(executed("1", Outcome.ANSWERED)));
+        requests.handle(r).join();
+        assertThat(rpc.calls(Inquire.class)).hasSize(1);
+        assertThat(rpc.calls(Execute.class)).isEmpty();
+    }
+
     @Test
     void lostAnswerOfTheClaimDoesNotRunTheRequestTwice() {
         rpc.answer((a, m) -> FakeRpc.done(executed("1", Outcome.ANSWERED)));
