Measure entries under swarms of agents

Real agents but for their runtimes, all in one process, against real entries.

Also: a heartbeat that cannot be built no longer blocks the ones after it.

--- a/bench/src/main/java/io/pollenreach/bench/Main.java
+++ b/bench/src/main/java/io/pollenreach/bench/Main.java
@@ -3,6 +3,8 @@
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.help.Help;
 import io.pollenreach.bench.experiment.ExperimentCommand;
+import io.pollenreach.bench.load.HoldCommand;
+import io.pollenreach.bench.load.SwarmCommand;
 
 /**
  * Runs the stand-ins and the experiments from the command line.
@@ -13,7 +15,14 @@
         name = "bench",
         description = "Stand-ins of the platform and of runners, and experiments",
         defaultCommand = Help.class,
-        commands = {PlatformCommand.class, RunnerCommand.class, ExperimentCommand.class, Help.class})
+        commands = {
+            PlatformCommand.class,
+            RunnerCommand.class,
+            ExperimentCommand.class,
+            SwarmCommand.class,
+            HoldCommand.class,
+            Help.class
+        })
 public final class Main {
     private Main() {}
 
--- /dev/null
+++ b/bench/src/main/java/io/pollenreach/bench/load/package-info.java
@@ -0,0 +1,2 @@
+/** Loads real entries with many agents and measures what they cost. */
+package io.pollenreach.bench.load;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
@@ -73,9 +73,9 @@
             if (inFlight || left) {
                 return;
             }
+            beat = next(false);
             inFlight = true;
             again = false;
-            beat = next(false);
         }
         send(beat);
     }
