--- a/bench/src/main/java/io/pollenreach/bench/Main.java
+++ b/bench/src/main/java/io/pollenreach/bench/Main.java
@@ -3,6 +3,8 @@
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.help.Help;
 import io.pollenreach.bench.experiment.ExperimentCommand;
+import io.pollenreach.bench.load.HoldCommand;
+import io.pollenreach.bench.load.SwarmCommand;
 import io.pollenreach.bench.planning.PlanningCommand;
 
 /**
@@ -19,6 +21,8 @@
             RunnerCommand.class,
             ExperimentCommand.class,
             PlanningCommand.class,
+            SwarmCommand.class,
+            HoldCommand.class,
             Help.class
         })
 public final class Main {
