Let single parts borrow free room rather than cut up a gang's guarantee

Cause: with divisible guarantees a burst of small jobs used up the shapes that gangs are owed, and gangs starved. Ruled out: sparing without regard to the other guarantees (trial): a borrower can't be reclaimed in the round in which it starts, so a guaranteed job could find its room gone; the property test of owed starts caught it. Change: a single part whose only guarantee is that of a gang borrows free room when all unused guarantees still fit beside it, and else starts within the guarantee.

--- a/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
@@ -40,6 +40,13 @@
         GuaranteedPlacer.Builder placement() {
             return V4.placement().divisible(true);
         }
+    },
+    /** Single parts borrow free room rather than cut up the guarantee of a gang. */
+    V6(V5.requests) {
+        @Override
+        GuaranteedPlacer.Builder placement() {
+            return V5.placement().spareGangs(true);
+        }
     };
 
     private final RequestOptions requests;
@@ -63,7 +70,7 @@
 
     /** Returns the options of the placer. */
     GuaranteedPlacer.Builder placement() {
-        return GuaranteedPlacer.builder().divisible(false).reserveAfterMs(0);
+        return GuaranteedPlacer.builder().divisible(false).spareGangs(false).reserveAfterMs(0);
     }
 
     /** Returns how entries treat requests. */
--- a/core/src/main/java/io/pollenreach/internal/placement/GuaranteeLedger.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteeLedger.java
@@ -50,7 +50,8 @@
 
     /**
      * Enters a job that was placed within a guarantee. One that finds no room only because jobs are entered in another
-     * order now than they came keeps its standing, unless the workspace holds more than it is guaranteed.
+     * order now than they came keeps its standing and uses up what is left, unless the workspace holds more than it is
+     * guaranteed.
      */
     private void enter(ClusterView view, PlacedJob p, int total) {
         String workspace = p.spec().workspace();
@@ -64,6 +65,11 @@
                 : 0;
         if (total > guaranteed) {
             outside.add(p.spec().key());
+            return;
+        }
+        int missing = p.spec().shape().accelerators();
+        for (GuaranteeRoom r : rooms.get(workspace)) {
+            missing -= r.drain(missing);
         }
     }
 
@@ -74,6 +80,13 @@
                 .min(Comparator.comparingInt(GuaranteeRoom::free));
     }
 
+    /** Returns what all workspaces may still ask for. */
+    List<Shape> rest() {
+        List<Shape> rest = new ArrayList<>();
+        rooms.values().forEach(list -> list.forEach(r -> rest.addAll(r.rest())));
+        return rest;
+    }
+
     /** Returns what all workspaces may still ask for once a gang has been put into one of the rooms. */
     List<Shape> restAfter(GuaranteeRoom room, Shape gang) {
         List<Shape> rest = new ArrayList<>();
--- a/core/src/main/java/io/pollenreach/internal/placement/GuaranteeRoom.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteeRoom.java
@@ -57,6 +57,17 @@
         }
     }
 
+    /** Uses up to some accelerators, wherever they are; returns how many. */
+    int drain(int accelerators) {
+        int drained = 0;
+        for (int i = 0; i < left.length; i++) {
+            int n = Math.min(accelerators - drained, left[i]);
+            left[i] -= n;
+            drained += n;
+        }
+        return drained;
+    }
+
     /** Returns what may still be asked for: the parts that are whole together, and each cut one by itself. */
     List<Shape> rest() {
         List<Shape> rest = new ArrayList<>();
--- a/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
@@ -41,6 +41,7 @@
         private static final long RESERVE_AFTER_MS = 60_000;
 
         private boolean divisible = true;
+        private boolean spareGangs = true;
         private boolean bestFit = true;
         private boolean fairShare = true;
         private boolean leastLostWork = true;
@@ -55,6 +56,12 @@
             return this;
         }
 
+        /** Sets whether a single part borrows free room rather than cut up the guarantee of a gang. */
+        public Builder spareGangs(boolean spareGangs) {
+            this.spareGangs = spareGangs;
+            return this;
+        }
+
         /** Sets whether free room is chosen so that whole racks and workers stay free. */
         public Builder bestFit(boolean bestFit) {
             this.bestFit = bestFit;
@@ -88,7 +95,7 @@
         /** Creates the placer. */
         public GuaranteedPlacer build() {
             return new GuaranteedPlacer(new PlacementOptions(
-                    divisible, bestFit, fairShare, leastLostWork, setAsideFailures, reserveAfterMs));
+                    divisible, spareGangs, bestFit, fairShare, leastLostWork, setAsideFailures, reserveAfterMs));
         }
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
@@ -100,7 +100,14 @@
     private void placeWithin(WaitingJob j, GuaranteeRoom guarantee) {
         String key = j.spec().key();
         Shape shape = j.spec().shape();
+        if (sparesGang(j, guarantee)) {
+            return;
+        }
         Set<AttemptId> forced = ownBorrowersOverLimit(j);
+        if (usedWithout(j, forced) + shape.accelerators() > limit(j)) {
+            pause(j, "workspace uses " + ledger.used(j.spec().workspace()) + " of " + limit(j));
+            return;
+        }
         List<Candidate> found = forced.isEmpty() ? fitter.inFreeRoom(key, shape) : List.of();
         Optional<Candidate> chosen = keepingGuarantees(j, guarantee, found);
         if (chosen.isEmpty()) {
@@ -120,11 +127,32 @@
         place(j, chosen.get(), false, "within guarantee " + Feasibility.text(guarantee.shape()));
     }
 
+    /** Lets a single part borrow free room rather than cut up the guarantee of a gang; returns whether it did. */
+    private boolean sparesGang(WaitingJob j, GuaranteeRoom guarantee) {
+        Shape shape = j.spec().shape();
+        String workspace = j.spec().workspace();
+        boolean cuts =
+                options.spareGangs() && shape.parts() == 1 && guarantee.shape().parts() > 1;
+        if (!cuts || ledger.used(workspace) + shape.accelerators() > limit(j)) {
+            return false;
+        }
+        // It can't be reclaimed in the round in which it starts, so it must leave room for every guarantee.
+        List<Shape> rest = ledger.rest();
+        Optional<Candidate> free = fitter.inFreeRoom(j.spec().key(), shape).stream()
+                .limit(MAX_PACKING_TRIES)
+                .filter(c -> leavesRoom(c, shape, rest))
+                .findFirst();
+        free.ifPresent(c -> {
+            place(j, c, true, "borrowed, to spare guaranteed " + Feasibility.text(guarantee.shape()));
+            c.counts().forEach((w, n) -> w.addFirm(n * shape.acceleratorsPerPart()));
+        });
+        return free.isPresent();
+    }
+
     /** Returns own borrowers that must stop so that the workspace stays within its limit. */
     private Set<AttemptId> ownBorrowersOverLimit(WaitingJob j) {
         String workspace = j.spec().workspace();
-        int max = view.workspaces().get(workspace).maxAccelerators();
-        int over = ledger.used(workspace) + j.spec().shape().accelerators() - max;
+        int over = ledger.used(workspace) + j.spec().shape().accelerators() - limit(j);
         Set<AttemptId> forced = new LinkedHashSet<>();
         for (AttemptId id : victims.ofWorkspace(workspace)) {
             if (over <= 0) {
@@ -136,6 +164,15 @@
         return forced;
     }
 
+    private int limit(WaitingJob j) {
+        return view.workspaces().get(j.spec().workspace()).maxAccelerators();
+    }
+
+    private int usedWithout(WaitingJob j, Set<AttemptId> stopped) {
+        int freed = stopped.stream().mapToInt(victims::accelerators).sum();
+        return ledger.used(j.spec().workspace()) - freed;
+    }
+
     private Optional<Candidate> keepingGuarantees(WaitingJob j, GuaranteeRoom guarantee, List<Candidate> found) {
         List<Shape> rest = ledger.restAfter(guarantee, j.spec().shape());
         return found.stream()
@@ -158,9 +195,8 @@
     private void borrow(WaitingJob j) {
         Shape shape = j.spec().shape();
         String workspace = j.spec().workspace();
-        int max = view.workspaces().get(workspace).maxAccelerators();
-        if (ledger.used(workspace) + shape.accelerators() > max) {
-            pause(j, "workspace uses " + ledger.used(workspace) + " of " + max);
+        if (ledger.used(workspace) + shape.accelerators() > limit(j)) {
+            pause(j, "workspace uses " + ledger.used(workspace) + " of " + limit(j));
             return;
         }
         Optional<Candidate> chosen =
