--- a/core/src/main/java/io/pollenreach/internal/membership/EntryView.java
+++ b/core/src/main/java/io/pollenreach/internal/membership/EntryView.java
@@ -37,6 +37,8 @@
     private final TreeMap<String, EntryInfo> entries = new TreeMap<>();
     /** Addresses that others named, with the time until which they are tried. */
     private final Map<String, Long> contacts = new HashMap<>();
+    /** Entries that live according to peers but were not heard, with the time at which that counts as a loss. */
+    private final Map<String, Long> unheard = new HashMap<>();
 
     private boolean draining;
     private long lossMs = Long.MIN_VALUE;
@@ -56,6 +58,7 @@
             return false;
         }
         noteSilence(nowMs);
+        unheard.remove(address);
         EntryInfo known = entries.get(address);
         if (known != null && known.incarnation() > incarnation) {
             return false;
@@ -69,7 +72,7 @@
         return known == null || restarted;
     }
 
-    /** Notes addresses that a peer or the settings named, so that heartbeats are sent to them. */
+    /** Notes addresses at which an entry may be, so that heartbeats are sent to them. */
     public synchronized void learn(Collection<String> addresses, long nowMs) {
         for (String address : addresses) {
             if (!address.equals(self.address())) {
@@ -78,6 +81,16 @@
         }
     }
 
+    /** Notes the entries that a peer holds to be live; one that is not heard from here soon counts as lost. */
+    public synchronized void learnLive(Collection<String> addresses, long nowMs) {
+        learn(addresses, nowMs);
+        for (String address : addresses) {
+            if (!address.equals(self.address()) && !entries.containsKey(address)) {
+                unheard.putIfAbsent(address, nowMs + ENTRY_SILENCE_MS);
+            }
+        }
+    }
+
     /** Notes that this entry takes no new work, so that it is nobody's home and not the planner. */
     public synchronized void drain() {
         draining = true;
@@ -126,7 +139,16 @@
     }
 
     /**
-     * Returns since when no entry has fallen silent, left or restarted.
+     * Notes that a peer knows of a lost entry.
+     *
+     * @param agoMs milliseconds since that loss
+     */
+    public synchronized void lost(long agoMs, long nowMs) {
+        lossMs = Math.max(lossMs, nowMs - agoMs);
+    }
+
+    /**
+     * Returns since when no entry has fallen silent, left or restarted, and no named one stayed unheard.
      *
      * <p>Only an entry that still lives can say what it started. {@link Long#MIN_VALUE} when none was ever lost.
      */
@@ -137,7 +159,8 @@
 
     private void noteSilence(long nowMs) {
         boolean lost = entries.values().removeIf(e -> nowMs - e.lastHeardMs() >= ENTRY_SILENCE_MS);
-        if (lost) {
+        boolean neverHeard = unheard.values().removeIf(untilMs -> untilMs <= nowMs);
+        if (lost || neverHeard) {
             lossMs = nowMs;
         }
     }
--- a/core/src/main/java/io/pollenreach/internal/wire/PeerState.java
+++ b/core/src/main/java/io/pollenreach/internal/wire/PeerState.java
@@ -12,9 +12,16 @@
  * @param configVersion the configuration version in force
  * @param config the whole configuration
  * @param tombstones keys of requests that must never start
+ * @param lossAgoMs milliseconds since the sender noticed the loss of an entry; null when it noticed none
  */
-public record PeerState(long configVersion, JsonNode config, List<String> tombstones) implements Message {
+public record PeerState(long configVersion, JsonNode config, List<String> tombstones, Long lossAgoMs)
+        implements Message {
     public PeerState {
         tombstones = tombstones == null ? List.of() : List.copyOf(tombstones);
     }
+
+    /** Creates the state of an entry that noticed no loss. */
+    public PeerState(long configVersion, JsonNode config, List<String> tombstones) {
+        this(configVersion, config, tombstones, null);
+    }
 }
--- a/core/src/test/java/io/pollenreach/internal/membership/EntryViewTest.java
+++ b/core/src/test/java/io/pollenreach/internal/membership/EntryViewTest.java
@@ -29,6 +29,22 @@
         assertThat(view.steadySinceMs(1_000)).isEqualTo(1_000);
     }
 
+    @Test
+    void entryThatPeersHearButThisOneDoesNotCountsAsLost() {
+        view.learn(List.of("d"), 0);
+        view.learnLive(List.of("b", "c"), 0);
+        view.heard("b", "z2", 1, false, 100);
+        assertThat(view.steadySinceMs(EntryView.ENTRY_SILENCE_MS - 1)).isEqualTo(Long.MIN_VALUE);
+        assertThat(view.steadySinceMs(EntryView.ENTRY_SILENCE_MS)).isEqualTo(EntryView.ENTRY_SILENCE_MS);
+    }
+
+    @Test
+    void lossThatPeerKnowsIsTakenOver() {
+        view.lost(300, 1_000);
+        view.lost(900, 1_000);
+        assertThat(view.steadySinceMs(1_000)).isEqualTo(700);
+    }
+
     @Test
     void entriesWithOneViewAgreeOnHomesAndPlanner() {
         EntryView other = new EntryView("b", "z2", 1);
