Send a second copy of an idempotent request when its runner is slow or silent

Cause: a request sent to a runner that froze waited there until the caller's deadline, although others were idle. Ruled out: a shorter timeout for all sends, which would run long requests twice. A failed copy does not fail the request while another is in flight. Measured: the test with a frozen runner gets its answer from the other one; without the change it waits for ever. Conclusion: non-idempotent requests are never copied, which has its own test.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -26,6 +26,7 @@
 import io.pollenreach.internal.membership.EntryView;
 import io.pollenreach.internal.placement.GuaranteedPlacer;
 import io.pollenreach.internal.routing.LoadRouter;
+import io.pollenreach.internal.routing.RetryBudget;
 import io.pollenreach.internal.wire.Message;
 
 /**
@@ -50,6 +51,10 @@
     /** How long an entry that starts looks for peers before it takes itself to be the first, in milliseconds. */
     private static final long JOIN_MS = 1_000;
 
+    /** Retries and second copies together, for each request that is sent for the first time. */
+    private static final double RETRY_FRACTION = 0.2;
+
+    private static final double RETRY_CAPACITY = 20;
     private static final long DRAIN_CHECK_MS = 20;
     /** How long peers and the balancer have to notice the drain before connections close, in milliseconds. */
     private static final long LEAVE_MS = 600;
@@ -96,12 +101,14 @@
         ClaimStore claims =
                 new ClaimStore(table, new HttpObjectStore(http, settings.platformUri(), PLATFORM_TIMEOUT_MS));
         ClaimedSender claimed = new ClaimedSender(board, claims, rpc, clock);
+        RetryBudget budget = new RetryBudget(RETRY_FRACTION, RETRY_CAPACITY);
         requests = new RequestController(
                 board,
                 new Burial(board, rpc, clock),
-                new IdempotentSender(rpc, clock),
+                new IdempotentSender(rpc, budget, clock),
                 claimed,
                 LoadRouter.builder().build(),
+                budget,
                 settings.zone(),
                 clock,
                 timing);
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Hedging.java
@@ -0,0 +1,70 @@
+package io.pollenreach.daemon.internal.entry;
+
+import java.util.OptionalLong;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.pollenreach.Clock;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.internal.membership.TargetTable;
+import io.pollenreach.internal.routing.HedgePolicy;
+import io.pollenreach.internal.routing.LengthEstimator;
+import io.pollenreach.internal.routing.RetryBudget;
+
+/**
+ * Sends a second copy of an idempotent request when its runner is much slower than usual, or has fallen silent.
+ *
+ * <p>Invariants: a request that may run only once is never copied; there are at most two copies in flight; copies count
+ * against the retry budget. Safe for use by many threads.
+ */
+final class Hedging {
+    /** A runner that froze just before a send counts as silent after this time, in milliseconds. */
+    static final long SILENCE_CHECK_MS = TargetTable.TARGET_SILENCE_MS + 500;
+
+    private static final Events EVENTS = Events.of(Hedging.class);
+
+    private final HedgePolicy policy = new HedgePolicy();
+    private final Board board;
+    private final LengthEstimator lengths;
+    private final RetryBudget budget;
+    private final Clock clock;
+    private final ScheduledExecutorService timer;
+
+    Hedging(Board board, LengthEstimator lengths, RetryBudget budget, Clock clock, ScheduledExecutorService timer) {
+        this.board = board;
+        this.lengths = lengths;
+        this.budget = budget;
+        this.clock = clock;
+        this.timer = timer;
+    }
+
+    /** Watches one send; {@code copy} runs when a second copy is due. */
+    void watch(Pending p, String runner, Runnable copy) {
+        CallerRequest r = p.request();
+        if (!r.idempotent()) {
+            return;
+        }
+        long left = r.deadlineAtMs() - clock.nowMs();
+        OptionalLong slow = policy.delayMs(lengths, r.workspace(), r.path(), true, left);
+        slow.ifPresent(ms -> timer.schedule(() -> hedge(p, runner, "slow", copy), ms, TimeUnit.MILLISECONDS));
+        timer.schedule(() -> checkSilence(p, runner, copy), SILENCE_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkSilence(Pending p, String runner, Runnable copy) {
+        boolean silent = board.targets()
+                .heardMs(runner)
+                .filter(ms -> clock.nowMs() - ms < TargetTable.TARGET_SILENCE_MS)
+                .isEmpty();
+        if (silent) {
+            hedge(p, runner, "silent", copy);
+        }
+    }
+
+    private void hedge(Pending p, String runner, String why, Runnable copy) {
+        if (p.answer().isDone() || p.inFlight() != 1 || !budget.tryAcquire()) {
+            return;
+        }
+        EVENTS.info("hedge", "request", p.request().key(), "runner", runner, "why", why);
+        copy.run();
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/IdempotentSender.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/IdempotentSender.java
@@ -22,17 +22,16 @@
  */
 final class IdempotentSender implements RequestController.Sender {
     private static final int MAX_SENDS = 4;
-    private static final double RETRY_FRACTION = 0.2;
-    private static final double RETRY_CAPACITY = 20;
 
     private static final Events EVENTS = Events.of(IdempotentSender.class);
 
     private final Rpc rpc;
     private final Clock clock;
-    private final RetryBudget budget = new RetryBudget(RETRY_FRACTION, RETRY_CAPACITY);
+    private final RetryBudget budget;
 
-    IdempotentSender(Rpc rpc, Clock clock) {
+    IdempotentSender(Rpc rpc, RetryBudget budget, Clock clock) {
         this.rpc = rpc;
+        this.budget = budget;
         this.clock = clock;
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Pending.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Pending.java
@@ -18,6 +18,7 @@
     private final Set<String> tried = new HashSet<>();
     private int sends;
     private int inDoubt;
+    private int inFlight;
     private boolean started;
     private boolean closed;
     private boolean closedToRetries;
@@ -57,9 +58,21 @@
         tried.add(runner);
         sends++;
         inDoubt++;
+        inFlight++;
         return true;
     }
 
+    /** Notes that one send has ended in whatever way; true when no other is in flight. */
+    synchronized boolean endSend() {
+        inFlight--;
+        return inFlight == 0;
+    }
+
+    /** Returns how many sends are in flight. */
+    synchronized int inFlight() {
+        return inFlight;
+    }
+
     /** Notes that the runner of one send surely saw no byte of it. */
     synchronized void unseen() {
         inDoubt--;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestController.java
@@ -18,6 +18,7 @@
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.internal.claims.Admission;
 import io.pollenreach.internal.routing.LengthEstimator;
+import io.pollenreach.internal.routing.RetryBudget;
 import io.pollenreach.internal.routing.Router;
 import io.pollenreach.internal.routing.RunnerView;
 import io.pollenreach.internal.wire.TargetInfo;
@@ -47,6 +48,7 @@
     private final Clock clock;
     private final ScheduledExecutorService timer;
     private final LengthEstimator lengths = new LengthEstimator(DEFAULT_LENGTH_MS);
+    private final Hedging hedging;
     private final AtomicBoolean pumpDue = new AtomicBoolean();
     private final Map<String, Pending> underWay = new ConcurrentHashMap<>();
     private final Map<String, ServiceQueue> queues = new ConcurrentHashMap<>();
@@ -68,6 +70,7 @@
             Sender idempotent,
             Sender claimed,
             Router router,
+            RetryBudget budget,
             String zone,
             Clock clock,
             ScheduledExecutorService timer) {
@@ -79,6 +82,7 @@
         this.zone = zone;
         this.clock = clock;
         this.timer = timer;
+        this.hedging = new Hedging(board, lengths, budget, clock, timer);
     }
 
     /** Takes a request; the future completes with the runner's whole answer or a numbered failure. */
@@ -196,20 +200,36 @@
                 "reason",
                 d.reason());
         Sender sender = p.request().idempotent() ? idempotent : claimed;
+        hedging.watch(p, d.runner().id(), () -> offerCopy(queue, p));
         sender.send(p, d.runner()).whenComplete((answer, t) -> {
             queue.returned(d.runner().id());
-            if (t != null) {
-                fail(p, PollenreachException.of(t));
-            } else if (answer.isPresent()) {
+            boolean last = p.endSend();
+            if (t == null && answer.isPresent()) {
                 lengths.record(p.request().workspace(), p.request().path(), clock.nowMs() - now);
                 succeed(p, answer.get());
-            } else {
-                sendAgain(queue, p);
+            } else if (last) {
+                unanswered(queue, p, t);
             }
             pump(p.request().service());
         });
     }
 
+    private void unanswered(ServiceQueue queue, Pending p, Throwable t) {
+        if (t != null) {
+            fail(p, PollenreachException.of(t));
+            return;
+        }
+        sendAgain(queue, p);
+    }
+
+    private void offerCopy(ServiceQueue queue, Pending p) {
+        board.config()
+                .get()
+                .workspace(p.request().workspace())
+                .ifPresent(w -> queue.offer(p, w.share(), Integer.MAX_VALUE, 0));
+        pump(p.request().service());
+    }
+
     private boolean admit(Pending p) {
         Admission admission = board.requests().admit(p.request().key());
         if (admission == Admission.STARTED) {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pollenreach.ManualClock;
@@ -14,7 +15,9 @@
 import io.pollenreach.internal.claims.ClaimRow;
 import io.pollenreach.internal.json.Json;
 import io.pollenreach.internal.membership.EntryView;
+import io.pollenreach.internal.membership.TargetTable;
 import io.pollenreach.internal.routing.LoadRouter;
+import io.pollenreach.internal.routing.RetryBudget;
 import io.pollenreach.internal.wire.Buried;
 import io.pollenreach.internal.wire.Bury;
 import io.pollenreach.internal.wire.Execute;
@@ -35,6 +38,8 @@
 /** Drives the request path of an entry against a fake runner's agent, fake peers and a fake table. */
 class RequestPathTest {
     private static final String PEER = "10.0.0.2:1";
+    private static final String RUNNER = "10.0.0.9:1";
+    private static final String OTHER_RUNNER = "10.0.0.8:1";
     private static final long LONG_MS = 60_000;
 
     private final FakeTable table = new FakeTable();
@@ -43,12 +48,14 @@
     private final Board board = new Board(new EntryView("10.0.0.1:1", "setubal", 1), clock);
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final ClaimedSender claimed = new ClaimedSender(board, new ClaimStore(table, null), rpc, clock);
+    private final RetryBudget budget = new RetryBudget(0.2, 20);
     private final RequestController requests = new RequestController(
             board,
             new Burial(board, rpc, clock),
-            new IdempotentSender(rpc, clock),
+            new IdempotentSender(rpc, budget, clock),
             claimed,
             LoadRouter.builder().build(),
+            budget,
             "setubal",
             clock,
             timer);
@@ -159,6 +166,43 @@
         assertThat(rpc.calls(Execute.class)).hasSize(1);
     }
 
+    @Test
+    void idempotentRequestAtFrozenRunnerIsAnsweredByAnother() {
+        announce("r2", OTHER_RUNNER, 8);
+        rpc.answer((a, m) ->
+                rpc.calls(Execute.class).size() == 1 ? freeze(a) : FakeRpc.done(executed("1", Outcome.ANSWERED)));
+        assertThat(requests.handle(request("1", true, LONG_MS)).join().requestId())
+                .isEqualTo("1");
+        assertThat(rpc.calls(Execute.class)).hasSize(2);
+    }
+
+    @Test
+    void nonIdempotentRequestAtFrozenRunnerIsNotCopied() {
+        announce("r2", OTHER_RUNNER, 8);
+        CompletableFuture<Message> open = new CompletableFuture<>();
+        rpc.answer((a, m) -> {
+            timer.schedule(
+                    () -> open.complete(executed("1", Outcome.ANSWERED)),
+                    Hedging.SILENCE_CHECK_MS + 500,
+                    TimeUnit.MILLISECONDS);
+            clock.advanceMs(TargetTable.TARGET_SILENCE_MS);
+            return open;
+        });
+        requests.handle(request("1", false, LONG_MS)).join();
+        assertThat(rpc.calls(Execute.class)).hasSize(1);
+    }
+
+    /** The runner that got the request falls silent; the other one goes on. */
+    private CompletableFuture<Message> freeze(String address) {
+        clock.advanceMs(TargetTable.TARGET_SILENCE_MS);
+        if (address.equals(RUNNER)) {
+            announce("r2", OTHER_RUNNER, 8);
+        } else {
+            announceRunner(8);
+        }
+        return new CompletableFuture<>();
+    }
+
     @Test
     void sameIdWithAnotherBodyIsRefused() {
         rpc.answer((a, m) -> FakeRpc.done(executed("1", Outcome.ANSWERED)));
@@ -184,20 +228,13 @@
     private long sequence;
 
     private void announceRunner(int slots) {
+        announce("r1", RUNNER, slots);
+    }
+
+    private void announce(String id, String address, int slots) {
         sequence++;
         TargetInfo runner = new TargetInfo(
-                "r1",
-                1,
-                sequence,
-                TargetKind.RUNNER,
-                "returns",
-                "setubal",
-                "k",
-                "10.0.0.9:1",
-                0,
-                slots,
-                Load.NONE,
-                false);
+                id, 1, sequence, TargetKind.RUNNER, "returns", "setubal", "k", address, 0, slots, Load.NONE, false);
         board.targets().announced(runner, clock.nowMs());
     }
 
