Move borrowers together for gangs that have waited

Cause: free accelerators lay scattered over racks while gangs waited; nothing ever brought them together. Change: a gang that has waited 5 s may stop borrowers when all of them can start again elsewhere at once and lose less work than the gang's waiting has cost; one move a round.

--- a/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
+++ b/bench/src/main/java/io/pollenreach/bench/experiment/PolicyVersion.java
@@ -47,6 +47,20 @@
         GuaranteedPlacer.Builder placement() {
             return V5.placement().spareGangs(true);
         }
+    },
+    /** Borrowers are moved together for gangs that have waited. */
+    V7(V6.requests) {
+        @Override
+        GuaranteedPlacer.Builder placement() {
+            return V6.placement().moveAfterMs(5_000);
+        }
+    },
+    /** Short work first within a workspace, and room is kept for jobs that have waited long. */
+    V8(V7.requests.withQueue(10)) {
+        @Override
+        GuaranteedPlacer.Builder placement() {
+            return V7.placement().reserveAfterMs(600_000);
+        }
     };
 
     private final RequestOptions requests;
@@ -70,7 +84,11 @@
 
     /** Returns the options of the placer. */
     GuaranteedPlacer.Builder placement() {
-        return GuaranteedPlacer.builder().divisible(false).spareGangs(false).reserveAfterMs(0);
+        return GuaranteedPlacer.builder()
+                .divisible(false)
+                .spareGangs(false)
+                .reserveAfterMs(0)
+                .moveAfterMs(0);
     }
 
     /** Returns how entries treat requests. */
--- a/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
@@ -38,7 +38,8 @@
     /** Collects the options of a placer. Not safe for use by many threads. */
     public static final class Builder {
         private static final int SET_ASIDE_FAILURES = 3;
-        private static final long RESERVE_AFTER_MS = 60_000;
+        private static final long RESERVE_AFTER_MS = 600_000;
+        private static final long MOVE_AFTER_MS = 5_000;
 
         private boolean divisible = true;
         private boolean spareGangs = true;
@@ -47,6 +48,7 @@
         private boolean leastLostWork = true;
         private int setAsideFailures = SET_ASIDE_FAILURES;
         private long reserveAfterMs = RESERVE_AFTER_MS;
+        private long moveAfterMs = MOVE_AFTER_MS;
 
         private Builder() {}
 
@@ -92,10 +94,23 @@
             return this;
         }
 
+        /** Sets how long a gang waits before borrowers are moved together for it, in milliseconds; 0 for never. */
+        public Builder moveAfterMs(long ms) {
+            this.moveAfterMs = ms;
+            return this;
+        }
+
         /** Creates the placer. */
         public GuaranteedPlacer build() {
             return new GuaranteedPlacer(new PlacementOptions(
-                    divisible, spareGangs, bestFit, fairShare, leastLostWork, setAsideFailures, reserveAfterMs));
+                    divisible,
+                    spareGangs,
+                    bestFit,
+                    fairShare,
+                    leastLostWork,
+                    setAsideFailures,
+                    reserveAfterMs,
+                    moveAfterMs));
         }
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/placement/PlacementOptions.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/PlacementOptions.java
@@ -12,6 +12,7 @@
  * @param leastLostWork whether the victims are those that lose least work, else those that hold least
  * @param setAsideFailures recent failures from which a worker gets no new parts; 0 for never
  * @param reserveAfterMs how long a job waits before room is kept for it, in milliseconds; 0 for never
+ * @param moveAfterMs how long a gang waits before borrowers are moved together for it, in milliseconds; 0 for never
  */
 record PlacementOptions(
         boolean divisible,
@@ -20,4 +21,5 @@
         boolean fairShare,
         boolean leastLostWork,
         int setAsideFailures,
-        long reserveAfterMs) {}
+        long reserveAfterMs,
+        long moveAfterMs) {}
--- a/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
@@ -29,6 +29,7 @@
     private final GangFitter fitter;
     private final List<Decision> decisions = new ArrayList<>();
     private boolean reserved;
+    private boolean moved;
 
     PlacementRound(ClusterView view, PlacementOptions options, long seed) {
         this.view = view;
@@ -205,6 +206,11 @@
             place(j, chosen.get(), true, "borrowed");
             return;
         }
+        Optional<Candidate> moved = byMoving(j);
+        if (moved.isPresent()) {
+            place(j, moved.get(), true, "borrowed, moving others together");
+            return;
+        }
         boolean keep = !reserved && options.reserveAfterMs() > 0 && j.waitedMs() >= options.reserveAfterMs();
         if (keep) {
             reserved = true;
@@ -213,6 +219,47 @@
         pause(j, "no group has room for " + Feasibility.text(shape) + (keep ? "; room is kept" : ""));
     }
 
+    /**
+     * Finds a place for a gang among borrowers that can all start again elsewhere at once, when the gang's waiting has
+     * cost more than stopping them loses.
+     */
+    private Optional<Candidate> byMoving(WaitingJob j) {
+        Shape shape = j.spec().shape();
+        int free = workers.stream()
+                .filter(w -> w.openTo(""))
+                .mapToInt(WorkerState::free)
+                .sum();
+        boolean tried = options.moveAfterMs() <= 0 || j.waitedMs() < options.moveAfterMs() || shape.parts() < 2;
+        if (tried || moved || free < shape.accelerators()) {
+            return Optional.empty();
+        }
+        double worth = (double) j.waitedMs() * shape.accelerators();
+        Optional<Candidate> found = fitter.withReclaim(j.spec().key(), shape, Set.of()).stream()
+                .filter(c -> c.lostWork() <= worth && restartElsewhere(c, shape))
+                .findFirst();
+        moved = found.isPresent();
+        return found;
+    }
+
+    private boolean restartElsewhere(Candidate c, Shape shape) {
+        ShapePacking packing = new ShapePacking();
+        for (WorkerState w : workers) {
+            if (w.openTo("")) {
+                int taken = c.counts().getOrDefault(w, 0) * shape.acceleratorsPerPart();
+                packing.add(w.view().zone(), w.view().rack(), w.freeWithout(c.victims()) - taken);
+            }
+        }
+        List<Shape> shapes = new ArrayList<>();
+        for (AttemptId id : c.victims()) {
+            PlacedJob p = view.placed().get(id.job());
+            if (p == null || !p.spec().restartable()) {
+                return false;
+            }
+            shapes.add(p.spec().shape());
+        }
+        return packing.pack(shapes).isEmpty();
+    }
+
     private void place(WaitingJob j, Candidate c, boolean borrowed, String reason) {
         Shape shape = j.spec().shape();
         for (AttemptId id : c.victims()) {
--- a/core/src/test/java/io/pollenreach/internal/placement/SampleCluster.java
+++ b/core/src/test/java/io/pollenreach/internal/placement/SampleCluster.java
@@ -50,6 +50,15 @@
         return this;
     }
 
+    /** Lets a job of one part borrow accelerators. */
+    SampleCluster holding(String worker, String workspace, String name, int accelerators) {
+        Shape shape = new Shape(1, accelerators, Adjacency.ANY);
+        JobSpec spec = new JobSpec(workspace, name, shape, Urgency.NORMAL, 0, true, 3, "");
+        placed.put(spec.key(), new PlacedJob(spec, true, 0));
+        hold(new Part(0, worker, "", accelerators), spec, true);
+        return this;
+    }
+
     ClusterView view() {
         return new ClusterView(List.copyOf(workers.values()), workspaces, placed);
     }
