--- a/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/GuaranteedPlacer.java
@@ -38,7 +38,6 @@
     /** Collects the options of a placer. Not safe for use by many threads. */
     public static final class Builder {
         private static final int SET_ASIDE_FAILURES = 3;
-        private static final long RESERVE_AFTER_MS = 600_000;
         private static final long MOVE_AFTER_MS = 5_000;
 
         private boolean divisible = true;
@@ -47,7 +46,7 @@
         private boolean fairShare = true;
         private boolean leastLostWork = true;
         private int setAsideFailures = SET_ASIDE_FAILURES;
-        private long reserveAfterMs = RESERVE_AFTER_MS;
+        private long reserveAfterMs;
         private long moveAfterMs = MOVE_AFTER_MS;
 
         private Builder() {}
@@ -88,7 +87,7 @@
             return this;
         }
 
-        /** Sets how long a job waits before room is kept for it, in milliseconds; 0 for never. */
+        /** Sets how long a job waits before room is kept for it, in milliseconds; 0, the default, for never. */
         public Builder reserveAfterMs(long ms) {
             this.reserveAfterMs = ms;
             return this;
