Keep the log while a daemon shuts down

Ruled out: installing the handler again in our hook, which races with the JDK's; writing to standard error directly, which loses the format.

Conclusion: graceful shutdowns can be seen.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
@@ -42,12 +42,12 @@
     abstract AutoCloseable start(Path file) throws Exception;
 
     private static void close(AutoCloseable daemon) {
-        EVENTS.info("shutdown_started");
+        EVENTS.info("shutdown-started");
         try {
             daemon.close();
-            EVENTS.info("shutdown_done");
+            EVENTS.info("shutdown-done");
         } catch (Exception e) {
-            EVENTS.warn("shutdown_failed", "error", e);
+            EVENTS.warn("shutdown-failed", "error", e);
         }
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/log/LogSetup.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/log/LogSetup.java
@@ -3,7 +3,6 @@
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
 /**
@@ -29,7 +28,9 @@
     }
 
     private static void install(Level ours, Level thirdParty) {
-        LogManager.getLogManager().reset();
+        for (Handler old : ROOT.getHandlers()) {
+            ROOT.removeHandler(old);
+        }
         Handler handler = new ConsoleHandler();
         handler.setLevel(Level.ALL);
         handler.setFormatter(new LineFormatter());
