--- a/model/src/test/resources/gang.als
+++ b/model/src/test/resources/gang.als
@@ -66,7 +66,7 @@
 pred commit[p: Placement] {
   Row.state = Waiting // [cas]
   p not in Row.committed
-  p.attempt not in Row.committed.attempt // [next]
+  p.attempt not in Row.committed.attempt
   p.attempt = Second implies First in Row.committed.attempt
   toldBy[HasReserved, p] = Part
   Row.state' = Placed
@@ -117,7 +117,7 @@
   holds' = holds - a->p->Stage
   refuses' = refuses + (p in a.holds.Stage implies a->p else none->none) // [lapsed-stays-lapsed]
   saw' = saw
-  p in Row.committed implies tell[HasStopped, p, a] else entriesUnchanged // [after-commit]
+  p in Row.committed implies tell[HasStopped, p, a] else entriesUnchanged
   rowUnchanged
 }
 
