Kill a runner's agent while its runner works

Cause: no test killed the agent of a runner in the middle of non-idempotent requests; the answer 3001 (not run) was given for requests whose first copy had run.

Ruled out: a fault of the check; the runner's own history shows the starts.

Change: AtMostOnceTest#agentIsKilledWhileItsRunnerWorks, eight requests that run while the agent of one runner is killed and started again, each sent a second time at the other entry.

--- a/systemtest/src/test/java/io/pollenreach/systemtest/AtMostOnceTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/AtMostOnceTest.java
@@ -50,6 +50,21 @@
         }
     }
 
+    @Test
+    void agentIsKilledWhileItsRunnerWorks() throws Exception {
+        try (Cluster cluster = start("agent-killed", 13)) {
+            List<CompletableFuture<CallerReply>> first = send(cluster, 1, WORK_MS);
+            Await.until("every request runs", WAIT_MS, () -> started(cluster) == REQUESTS);
+            cluster.daemon("r1").kill();
+            cluster.daemon("r1").start();
+            List<CompletableFuture<CallerReply>> second = send(cluster, 2, WORK_MS);
+            join(first);
+            join(second);
+
+            check(cluster);
+        }
+    }
+
     private static Cluster start(String name, long seed) throws Exception {
         Cluster cluster = Cluster.start(name, 2, 0, 2, seed);
         cluster.addWorkspace(WORKSPACE);
