Make the test of uncopied requests see a copy

Cause: the variant that copies non-idempotent requests passed: both runners were silent in the test, so the copy had nowhere to go; and the claim keeps a copy from running anyhow. Ruled out: counting runs only, which the claim protocol already ensures without Hedging's own guard. Change: the other runner goes on, and no inquiry may be made either. Conclusion: the guard and the claim are two separate lines of defence, each tested.

--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
@@ -185,11 +185,13 @@
                     () -> open.complete(executed("1", Outcome.ANSWERED)),
                     Hedging.SILENCE_CHECK_MS + 500,
                     TimeUnit.MILLISECONDS);
-            clock.advanceMs(TargetTable.TARGET_SILENCE_MS);
+            freeze(a);
             return open;
         });
         requests.handle(request("1", false, LONG_MS)).join();
         assertThat(rpc.calls(Execute.class)).hasSize(1);
+        // A copy would meet the claim and ask about it, without running anything.
+        assertThat(rpc.calls(Inquire.class)).isEmpty();
     }
 
     /** The runner that got the request falls silent; the other one goes on. */
