Move jobs that ended an hour ago out of memory

Ruled out: deleting the rows, after which a repeated submission would run the job again. Change: the planner moves ended rows to table 'ended' in one transaction each; reads fall back to it and a submission looks there first, so a name stays taken. Tests: four are new. 'unresolved write is said to be unknown' failed because a submission now begins with a read, at which its injected failure struck; it injects the same failure into an update, which begins with the write. Conclusion: memory follows the jobs of the last hour. Rows of table 'claims' are not moved yet.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -70,6 +70,7 @@
     private final Membership membership;
     private final ConfigController config;
     private final JobController jobs;
+    private final JobArchive archive;
     private final RequestController requests;
     private final ScheduledExecutorService planning = thread("planning");
     private final ScheduledExecutorService beating = thread("beating");
@@ -95,6 +96,7 @@
         Avoidance avoidance = new Avoidance(clock);
         ClusterViews views = new ClusterViews(board, avoidance, clock);
         JobStore store = new JobStore(table, board.jobs(), clock);
+        archive = new JobArchive(board, store, clock);
         jobs = jobController(store, avoidance, views);
         config = new ConfigController(board, table, views, rpc, clock, this::changed);
         membership = new Membership(board, rpc, clock, self, this::changed, config::poll);
@@ -178,6 +180,8 @@
         timing.scheduleWithFixedDelay(config::poll, 0, ConfigController.POLL_MS, TimeUnit.MILLISECONDS);
         timing.scheduleWithFixedDelay(requests::pump, PUMP_MS, PUMP_MS, TimeUnit.MILLISECONDS);
         jobs.start();
+        timing.scheduleWithFixedDelay(
+                archive::sweep, JobArchive.PERIOD_MS, JobArchive.PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
     private void beat() {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobStore.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobStore.java
@@ -1,5 +1,6 @@
 package io.pollenreach.daemon.internal.entry;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
@@ -24,6 +25,8 @@
  * by reading the row back. Safe for use by many threads; it holds no lock.
  */
 final class JobStore {
+    private static final String ENDED_TABLE = "ended";
+
     private final Table table;
     private final JobTable jobs;
     private final Clock clock;
@@ -34,9 +37,24 @@
         this.clock = clock;
     }
 
-    /** Creates a row; fails with {@code CONFLICT} when there is one already with another content. */
+    /** Creates a row; fails with {@code CONFLICT} when there is one already, an archived one included. */
     CompletableFuture<JobRow> create(JobRecord record) {
-        return write(record.spec().key(), 0, record);
+        String key = record.spec().key();
+        return table.get(ENDED_TABLE, key).thenCompose(ended -> {
+            if (ended.isPresent()) {
+                return CompletableFuture.failedFuture(
+                        new PollenreachException(ResultCode.CONFLICT, key + " ended earlier"));
+            }
+            return write(key, 0, record);
+        });
+    }
+
+    /** Moves the row of a job that has ended to the archive. */
+    CompletableFuture<Void> archive(JobRow row) {
+        JsonNode value = Json.lenient().valueToTree(row.record());
+        List<Write> move = List.of(
+                new Write(JobTable.TABLE, row.key(), row.version(), null), new Write(ENDED_TABLE, row.key(), 0, value));
+        return table.transact(move).thenAccept(v -> jobs.remove(row.key(), row.version() + 1));
     }
 
     /** Replaces a row's content; fails with {@code CONFLICT} when it has another version by now. */
@@ -51,9 +69,16 @@
         return write(row.key(), row.version(), next);
     }
 
-    /** Reads a row from the table service. */
+    /** Reads a row from the table service, from the archive when it is there. */
     CompletableFuture<Optional<JobRow>> read(String key) {
-        return table.get(JobTable.TABLE, key).thenApply(r -> r.map(this::learn));
+        return table.get(JobTable.TABLE, key).thenCompose(r -> {
+            if (r.isPresent()) {
+                return CompletableFuture.completedFuture(r.map(this::learn));
+            }
+            // Not learned: the archive is not kept in memory.
+            return table.get(ENDED_TABLE, key)
+                    .thenApply(e -> e.map(a -> new JobRow(key, a.version(), parse(a), clock.nowMs())));
+        });
     }
 
     /** Learns of all rows that changed since the last poll. */
--- /dev/null
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/JobArchiveTest.java
@@ -0,0 +1,69 @@
+package io.pollenreach.daemon.internal.entry;
+
+import io.pollenreach.ManualClock;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
+import io.pollenreach.internal.jobs.JobRecord;
+import io.pollenreach.internal.membership.EntryView;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class JobArchiveTest {
+    private static final String KEY = JobStoreTest.SPEC.key();
+
+    private final FakeTable table = new FakeTable();
+    private final ManualClock clock = new ManualClock();
+    private final Board board = new Board(new EntryView("10.0.0.1:1", "setubal", 1), clock);
+    private final JobStore store = new JobStore(table, board.jobs(), clock);
+    private final JobArchive archive = new JobArchive(board, store, clock);
+
+    @Test
+    void endedJobLeavesMemoryAfterItsTimeAndCanStillBeRead() {
+        JobRow ended = end();
+        archive.sweep();
+        assertThat(board.jobs().get(KEY)).contains(ended);
+        clock.advanceMs(JobArchive.KEEP_MS + 1);
+        archive.sweep();
+        assertThat(board.jobs().get(KEY)).isEmpty();
+        assertThat(store.read(KEY).join().orElseThrow().record()).isEqualTo(ended.record());
+        store.poll().join();
+        assertThat(board.jobs().get(KEY)).isEmpty();
+    }
+
+    @Test
+    void nameOfArchivedJobStaysTaken() {
+        end();
+        clock.advanceMs(JobArchive.KEEP_MS + 1);
+        archive.sweep();
+        assertThatThrownBy(() ->
+                        store.create(JobRecord.submit(JobStoreTest.SPEC, 5)).join())
+                .satisfies(t -> assertThat(JobStoreTest.codeOf(t)).isEqualTo(ResultCode.CONFLICT));
+    }
+
+    @Test
+    void jobThatHasNotEndedIsKept() {
+        store.create(JobRecord.submit(JobStoreTest.SPEC, 0)).join();
+        clock.advanceMs(JobArchive.KEEP_MS + 1);
+        archive.sweep();
+        assertThat(board.jobs().get(KEY)).isPresent();
+    }
+
+    @Test
+    void outageLeavesTheRowWhereItIs() {
+        end();
+        clock.advanceMs(JobArchive.KEEP_MS + 1);
+        table.down(true);
+        archive.sweep();
+        table.down(false);
+        assertThat(board.jobs().get(KEY)).isPresent();
+        archive.sweep();
+        assertThat(board.jobs().get(KEY)).isEmpty();
+    }
+
+    private JobRow end() {
+        JobRow row = store.create(JobRecord.submit(JobStoreTest.SPEC, 0)).join();
+        return store.update(row, j -> j.cancel(0)).join();
+    }
+}
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/JobStoreTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/JobStoreTest.java
@@ -53,9 +53,10 @@
 
     @Test
     void unresolvedWriteIsSaidToBeUnknown() {
+        JobRow row = store.create(JobRecord.submit(SPEC, 1)).join();
         table.loseAnswers(1);
         table.failReads(1);
-        assertThatThrownBy(() -> store.create(JobRecord.submit(SPEC, 1)).join())
+        assertThatThrownBy(() -> store.update(row, j -> j.cancel(2)).join())
                 .satisfies(t -> assertThat(codeOf(t)).isEqualTo(ResultCode.WRITE_UNKNOWN));
     }
 
