Let the property test of placement move borrowers too

Its jobs wait less than 10 ms, so the default of 5 s for moving borrowers together was never reached there. It now runs with 4 ms.

--- a/core/src/test/java/io/pollenreach/internal/placement/PlacementPropertiesTest.java
+++ b/core/src/test/java/io/pollenreach/internal/placement/PlacementPropertiesTest.java
@@ -23,7 +23,8 @@
     private static final int STEPS = 25;
     private static final int QUOTA = 24;
 
-    private final Placer placer = GuaranteedPlacer.builder().reserveAfterMs(5).build();
+    private final Placer placer =
+            GuaranteedPlacer.builder().reserveAfterMs(8).moveAfterMs(4).build();
 
     @Property(tries = 150, seed = "11")
     void promisesHoldInEveryRound(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
