Let faults of the entries and of the platform meet

Cause: each failure had a test of its own, none met another; and no test restarted all entries, which keep nothing.

Ruled out: a new checker; those of single failures hold here too.

Change: two cases in JobsReachTheirEndTest: an entry is killed while the platform's store is down, and both entries are killed and started again one after the other while parts run, the second once the first knows all targets.

--- a/systemtest/src/test/java/io/pollenreach/systemtest/JobsReachTheirEndTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/JobsReachTheirEndTest.java
@@ -94,6 +94,35 @@
         }
     }
 
+    @Test
+    void entryIsKilledWhileThePlatformIsDown() throws Exception {
+        try (Cluster cluster = start("jobs-entry-and-platform", 26)) {
+            submitJobs(cluster, 26);
+            Await.until("a part runs", END_TIMEOUT_MS, () -> running(cluster) > 0);
+            cluster.platform().setFaults(new PlatformFaults(true, 0, 0, 26, null, false));
+            cluster.daemon("e1").kill();
+            Thread.sleep(OUTAGE_MS);
+            cluster.platform().setFaults(new PlatformFaults(false, 0, 0, 26, null, false));
+            awaitEnds(cluster);
+            check(cluster);
+        }
+    }
+
+    @Test
+    void bothEntriesRestartOneAfterTheOther() throws Exception {
+        try (Cluster cluster = start("jobs-entries-restart", 27)) {
+            submitJobs(cluster, 27);
+            for (String entry : new String[] {"e1", "e2"}) {
+                Await.until("a part runs", END_TIMEOUT_MS, () -> running(cluster) > 0);
+                cluster.daemon(entry).kill();
+                cluster.daemon(entry).start();
+                cluster.awaitTargets(WORKERS);
+            }
+            awaitEnds(cluster);
+            check(cluster);
+        }
+    }
+
     private static Cluster start(String name, long seed) throws Exception {
         Cluster cluster = Cluster.start(name, 2, WORKERS, 0, seed);
         cluster.addWorkspace(WORKSPACE, 2, ACCELERATORS_PER_PART);
