--- a/bench/src/main/java/io/pollenreach/bench/Main.java
+++ b/bench/src/main/java/io/pollenreach/bench/Main.java
@@ -5,6 +5,7 @@
 import io.pollenreach.bench.experiment.ExperimentCommand;
 import io.pollenreach.bench.load.HoldCommand;
 import io.pollenreach.bench.load.SwarmCommand;
+import io.pollenreach.bench.planning.PlanningCommand;
 
 /**
  * Runs the stand-ins and the experiments from the command line.
@@ -19,6 +20,7 @@
             PlatformCommand.class,
             RunnerCommand.class,
             ExperimentCommand.class,
+            PlanningCommand.class,
             SwarmCommand.class,
             HoldCommand.class,
             Help.class
--- a/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
+++ b/core/src/main/java/io/pollenreach/internal/placement/PlacementRound.java
@@ -29,6 +29,7 @@
     private final GangFitter fitter;
     private final List<Decision> decisions = new ArrayList<>();
     private boolean reserved;
+    private boolean moved;
 
     PlacementRound(ClusterView view, PlacementOptions options, long seed) {
         this.view = view;
@@ -100,7 +101,14 @@
     private void placeWithin(WaitingJob j, GuaranteeRoom guarantee) {
         String key = j.spec().key();
         Shape shape = j.spec().shape();
+        if (sparesGang(j, guarantee)) {
+            return;
+        }
         Set<AttemptId> forced = ownBorrowersOverLimit(j);
+        if (usedWithout(j, forced) + shape.accelerators() > limit(j)) {
+            pause(j, "workspace uses " + ledger.used(j.spec().workspace()) + " of " + limit(j));
+            return;
+        }
         List<Candidate> found = forced.isEmpty() ? fitter.inFreeRoom(key, shape) : List.of();
         Optional<Candidate> chosen = keepingGuarantees(j, guarantee, found);
         if (chosen.isEmpty()) {
@@ -120,11 +128,32 @@
         place(j, chosen.get(), false, "within guarantee " + Feasibility.text(guarantee.shape()));
     }
 
+    /** Lets a single part borrow free room rather than cut up the guarantee of a gang; returns whether it did. */
+    private boolean sparesGang(WaitingJob j, GuaranteeRoom guarantee) {
+        Shape shape = j.spec().shape();
+        String workspace = j.spec().workspace();
+        boolean cuts =
+                options.spareGangs() && shape.parts() == 1 && guarantee.shape().parts() > 1;
+        if (!cuts || ledger.used(workspace) + shape.accelerators() > limit(j)) {
+            return false;
+        }
+        // It can't be reclaimed in the round in which it starts, so it must leave room for every guarantee.
+        List<Shape> rest = ledger.rest();
+        Optional<Candidate> free = fitter.inFreeRoom(j.spec().key(), shape).stream()
+                .limit(MAX_PACKING_TRIES)
+                .filter(c -> leavesRoom(c, shape, rest))
+                .findFirst();
+        free.ifPresent(c -> {
+            place(j, c, true, "borrowed, to spare guaranteed " + Feasibility.text(guarantee.shape()));
+            c.counts().forEach((w, n) -> w.addFirm(n * shape.acceleratorsPerPart()));
+        });
+        return free.isPresent();
+    }
+
     /** Returns own borrowers that must stop so that the workspace stays within its limit. */
     private Set<AttemptId> ownBorrowersOverLimit(WaitingJob j) {
         String workspace = j.spec().workspace();
-        int max = view.workspaces().get(workspace).maxAccelerators();
-        int over = ledger.used(workspace) + j.spec().shape().accelerators() - max;
+        int over = ledger.used(workspace) + j.spec().shape().accelerators() - limit(j);
         Set<AttemptId> forced = new LinkedHashSet<>();
         for (AttemptId id : victims.ofWorkspace(workspace)) {
             if (over <= 0) {
@@ -136,6 +165,15 @@
         return forced;
     }
 
+    private int limit(WaitingJob j) {
+        return view.workspaces().get(j.spec().workspace()).maxAccelerators();
+    }
+
+    private int usedWithout(WaitingJob j, Set<AttemptId> stopped) {
+        int freed = stopped.stream().mapToInt(victims::accelerators).sum();
+        return ledger.used(j.spec().workspace()) - freed;
+    }
+
     private Optional<Candidate> keepingGuarantees(WaitingJob j, GuaranteeRoom guarantee, List<Candidate> found) {
         List<Shape> rest = ledger.restAfter(guarantee, j.spec().shape());
         return found.stream()
@@ -158,9 +196,8 @@
     private void borrow(WaitingJob j) {
         Shape shape = j.spec().shape();
         String workspace = j.spec().workspace();
-        int max = view.workspaces().get(workspace).maxAccelerators();
-        if (ledger.used(workspace) + shape.accelerators() > max) {
-            pause(j, "workspace uses " + ledger.used(workspace) + " of " + max);
+        if (ledger.used(workspace) + shape.accelerators() > limit(j)) {
+            pause(j, "workspace uses " + ledger.used(workspace) + " of " + limit(j));
             return;
         }
         Optional<Candidate> chosen =
@@ -169,6 +206,11 @@
             place(j, chosen.get(), true, "borrowed");
             return;
         }
+        Optional<Candidate> moved = byMoving(j);
+        if (moved.isPresent()) {
+            place(j, moved.get(), true, "borrowed, moving others together");
+            return;
+        }
         boolean keep = !reserved && options.reserveAfterMs() > 0 && j.waitedMs() >= options.reserveAfterMs();
         if (keep) {
             reserved = true;
@@ -177,6 +219,47 @@
         pause(j, "no group has room for " + Feasibility.text(shape) + (keep ? "; room is kept" : ""));
     }
 
+    /**
+     * Finds a place for a gang among borrowers that can all start again elsewhere at once, when the gang's waiting has
+     * cost more than stopping them loses.
+     */
+    private Optional<Candidate> byMoving(WaitingJob j) {
+        Shape shape = j.spec().shape();
+        int free = workers.stream()
+                .filter(w -> w.openTo(""))
+                .mapToInt(WorkerState::free)
+                .sum();
+        boolean tried = options.moveAfterMs() <= 0 || j.waitedMs() < options.moveAfterMs() || shape.parts() < 2;
+        if (tried || moved || free < shape.accelerators()) {
+            return Optional.empty();
+        }
+        double worth = (double) j.waitedMs() * shape.accelerators();
+        Optional<Candidate> found = fitter.withReclaim(j.spec().key(), shape, Set.of()).stream()
+                .filter(c -> c.lostWork() <= worth && restartElsewhere(c, shape))
+                .findFirst();
+        moved = found.isPresent();
+        return found;
+    }
+
+    private boolean restartElsewhere(Candidate c, Shape shape) {
+        ShapePacking packing = new ShapePacking();
+        for (WorkerState w : workers) {
+            if (w.openTo("")) {
+                int taken = c.counts().getOrDefault(w, 0) * shape.acceleratorsPerPart();
+                packing.add(w.view().zone(), w.view().rack(), w.freeWithout(c.victims()) - taken);
+            }
+        }
+        List<Shape> shapes = new ArrayList<>();
+        for (AttemptId id : c.victims()) {
+            PlacedJob p = view.placed().get(id.job());
+            if (p == null || !p.spec().restartable()) {
+                return false;
+            }
+            shapes.add(p.spec().shape());
+        }
+        return packing.pack(shapes).isEmpty();
+    }
+
     private void place(WaitingJob j, Candidate c, boolean borrowed, String reason) {
         Shape shape = j.spec().shape();
         for (AttemptId id : c.victims()) {
