--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Burial.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Burial.java
@@ -46,20 +46,24 @@
         if (!buriedHere) {
             return failed(ResultCode.NOT_ADMITTED, why);
         }
-        long now = clock.nowMs();
-        boolean lostLately = now - board.entries().steadySinceMs(now) < RequestController.MAX_DEADLINE_MS;
-        boolean everLost = board.entries().steadySinceMs(now) != Long.MIN_VALUE;
         List<CompletableFuture<Boolean>> peers = new ArrayList<>();
-        for (EntryInfo peer : board.entries().peers(now)) {
+        for (EntryInfo peer : board.entries().peers(clock.nowMs())) {
             peers.add(bury(peer.address(), request));
         }
         return CompletableFuture.allOf(peers.toArray(CompletableFuture[]::new)).thenCompose(v -> {
             boolean everywhere = peers.stream().allMatch(CompletableFuture::join);
-            boolean certain = everywhere && !(everLost && lostLately);
+            // Read after the acknowledgements: an entry lost meanwhile may have taken a start with it.
+            boolean certain = everywhere && !lostLately();
             return failed(certain ? ResultCode.NOT_RUN : ResultCode.NOT_ADMITTED, why);
         });
     }
 
+    private boolean lostLately() {
+        long now = clock.nowMs();
+        long steadySince = board.entries().steadySinceMs(now);
+        return steadySince != Long.MIN_VALUE && now - steadySince < RequestController.MAX_DEADLINE_MS;
+    }
+
     private CompletableFuture<Boolean> bury(String address, CallerRequest request) {
         Bury message = new Bury(request.id(), request.workspace());
         return rpc.call(address, message, Buried.class, BURY_TIMEOUT_MS).handle((b, t) -> t == null && b.neverStarts());
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ClaimedSender.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ClaimedSender.java
@@ -137,6 +137,12 @@
 
     private CompletableFuture<Optional<Answer>> execute(Run run, Claim claim) {
         CallerRequest r = run.pending.request();
+        if (!run.sent && clock.nowMs() >= r.deadlineAtMs()) {
+            // The caller may have been told already that it did not run.
+            run.pending.unseen();
+            run.pending.closeToRetries();
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
         long left = Math.max(1, r.deadlineAtMs() - clock.nowMs());
         Execute message = new Execute(
                 r.id(),
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigController.java
@@ -92,6 +92,8 @@
         return rpc.call(peer, new PullState(""), PeerState.class, PULL_TIMEOUT_MS)
                 .thenAccept(s -> {
                     board.requests().adopt(s.tombstones());
+                    Optional.ofNullable(s.lossAgoMs())
+                            .ifPresent(ago -> board.entries().lost(ago, clock.nowMs()));
                     boolean peerKnows = s.config() != null && !s.config().isNull();
                     if (peerKnows && board.config().adopt(ConfigSnapshot.fromJson(s.configVersion(), s.config()))) {
                         inForce(peer);
@@ -103,7 +105,10 @@
     PeerState state() {
         ConfigSnapshot config = board.config().get();
         JsonNode known = board.config().known() ? config.toJson() : null;
-        return new PeerState(config.version(), known, board.requests().tombstones());
+        long now = clock.nowMs();
+        long steadySince = board.entries().steadySinceMs(now);
+        Long lossAgoMs = steadySince == Long.MIN_VALUE ? null : Long.valueOf(now - steadySince);
+        return new PeerState(config.version(), known, board.requests().tombstones(), lossAgoMs);
     }
 
     /** Returns the version that every live process is known to have in force. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -115,7 +115,7 @@
                 clock,
                 timing);
         AgentLink agents = new AgentLink(board, clock, this::changed, requests::pumpSoon);
-        handler = new PeerHandler(board, membership, agents, config, jobs);
+        handler = new PeerHandler(board, membership, agents, config, jobs, this::ready);
         Access access = new Access(board.config(), settings.operatorTokenSha256());
         int maxBody = settings.maxBodyBytes();
         RequestApi requestApi = new RequestApi(requests, claimed, access, clock, maxBody);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Membership.java
@@ -118,7 +118,7 @@
             positions.remove(beat.from());
             EVENTS.info("entry-joined", "entry", beat.from(), "zone", beat.zone(), "incarnation", beat.incarnation());
         }
-        board.entries().learn(beat.peers(), now);
+        board.entries().learnLive(beat.peers(), now);
         board.agentVersions().peer(beat.from(), Math.min(beat.configVersion(), beat.agentsConfigVersion()));
         if (beat.configVersion() > board.config().get().version()) {
             newerConfig.run();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PeerHandler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PeerHandler.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.entry;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
@@ -26,13 +27,21 @@
     private final AgentLink agents;
     private final ConfigController config;
     private final JobController jobs;
+    private final BooleanSupplier joined;
 
-    PeerHandler(Board board, Membership membership, AgentLink agents, ConfigController config, JobController jobs) {
+    PeerHandler(
+            Board board,
+            Membership membership,
+            AgentLink agents,
+            ConfigController config,
+            JobController jobs,
+            BooleanSupplier joined) {
         this.board = board;
         this.membership = membership;
         this.agents = agents;
         this.config = config;
         this.jobs = jobs;
+        this.joined = joined;
     }
 
     @Override
@@ -52,6 +61,10 @@
             return membership.handle((PeerBeat) m);
         }
         if (m instanceof Bury) {
+            if (!joined.getAsBoolean()) {
+                // What a predecessor at this address started is not known here.
+                throw new PollenreachException(ResultCode.NOT_READY, "the entry has not joined its peers");
+            }
             Bury bury = (Bury) m;
             return new Buried(board.requests().bury(RequestTable.key(bury.workspace(), bury.requestId())));
         }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/RequestController.java
@@ -143,18 +143,19 @@
 
     private void pump(String service) {
         ServiceQueue queue = queue(service);
-        Optional<Dispatch> next = queue.next(() -> runners(service));
+        int entries = board.entries().live(clock.nowMs()).size();
+        Optional<Dispatch> next = queue.next(() -> runners(service), entries);
         while (next.isPresent()) {
             dispatch(queue, next.get());
-            next = queue.next(() -> runners(service));
+            next = queue.next(() -> runners(service), entries);
         }
     }
 
-    private List<RunnerView> runners(String service) {
+    private List<ServiceQueue.Report> runners(String service) {
         Set<String> draining = board.config().get().draining();
         return board.targets().usable(clock.nowMs()).stream()
                 .filter(t -> t.kind() == TargetKind.RUNNER && t.service().equals(service))
-                .map(t -> runner(t, !draining.contains(t.id())))
+                .map(t -> new ServiceQueue.Report(runner(t, !draining.contains(t.id())), t.sequence()))
                 .toList();
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ServiceQueue.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ServiceQueue.java
@@ -1,14 +1,13 @@
 package io.pollenreach.daemon.internal.entry;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
 import io.pollenreach.Clock;
 import io.pollenreach.internal.routing.FairQueue;
+import io.pollenreach.internal.routing.InFlight;
 import io.pollenreach.internal.routing.Route;
 import io.pollenreach.internal.routing.Router;
 import io.pollenreach.internal.routing.RunnerView;
@@ -23,7 +22,7 @@
     private final String zone;
     private final Router router;
     private final FairQueue<Pending> queue;
-    private final Map<String, Integer> inFlight = new HashMap<>();
+    private final InFlight inFlight = new InFlight();
     private long seed;
 
     ServiceQueue(String zone, Router router, Clock clock) {
@@ -41,6 +40,14 @@
      */
     record Dispatch(Pending pending, RunnerView runner, String reason) {}
 
+    /**
+     * A runner as it last reported itself.
+     *
+     * @param view the runner
+     * @param sequence a number that differs between one report and the next
+     */
+    record Report(RunnerView view, long sequence) {}
+
     synchronized boolean offer(Pending pending, int share, int maxWaiting, double expectedMs) {
         return queue.offer(pending.request().workspace(), share, maxWaiting, expectedMs, pending);
     }
@@ -53,13 +60,20 @@
         return queue.size();
     }
 
-    /** Takes the next request when a runner has room for it. */
-    synchronized Optional<Dispatch> next(Supplier<List<RunnerView>> runners) {
+    /**
+     * Takes the next request when a runner has room for it.
+     *
+     * @param runners gives the service's runners
+     * @param entries how many entries share them
+     */
+    synchronized Optional<Dispatch> next(Supplier<List<Report>> runners, int entries) {
         if (queue.size() == 0) {
             return Optional.empty();
         }
         seed++;
-        List<RunnerView> views = withInFlight(runners.get());
+        List<RunnerView> views = runners.get().stream()
+                .map(r -> inFlight.update(r.view(), r.sequence(), entries))
+                .toList();
         if (router.route(zone, views, Set.of(), seed).runner().isEmpty()) {
             return Optional.empty();
         }
@@ -71,28 +85,12 @@
         // A request that was tried everywhere goes to a runner once more rather than nowhere.
         Route route = fresh.runner().isPresent() ? fresh : router.route(zone, views, Set.of(), seed);
         RunnerView r = route.runner().orElseThrow();
-        inFlight.merge(r.id(), 1, Integer::sum);
+        inFlight.sent(r.id());
         return new Dispatch(p, r, route.reason());
     }
 
     /** Notes that a request is no longer in flight at a runner. */
     synchronized void returned(String runner) {
-        inFlight.computeIfPresent(runner, (k, n) -> n > 1 ? n - 1 : null);
-    }
-
-    private List<RunnerView> withInFlight(List<RunnerView> views) {
-        return views.stream()
-                .map(r -> new RunnerView(
-                        r.id(),
-                        r.zone(),
-                        r.address(),
-                        r.slots(),
-                        r.inUse(),
-                        r.queued(),
-                        inFlight.getOrDefault(r.id(), 0),
-                        r.meanServiceMs(),
-                        r.recentFailures(),
-                        r.usable()))
-                .toList();
+        inFlight.returned(runner);
     }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
@@ -26,6 +26,7 @@
 import io.pollenreach.internal.wire.Load;
 import io.pollenreach.internal.wire.Message;
 import io.pollenreach.internal.wire.Outcome;
+import io.pollenreach.internal.wire.PeerState;
 import io.pollenreach.internal.wire.TargetInfo;
 import io.pollenreach.internal.wire.TargetKind;
 import org.junit.jupiter.api.AfterEach;
@@ -116,6 +117,33 @@
         assertFails(requests.handle(request("1", true, 0)), ResultCode.NOT_ADMITTED);
     }
 
+    @Test
+    void notRunIsNotSaidWhenAnEntryIsLostWhileItIsBuried() {
+        peerAnswers(true);
+        rpc.answer((a, m) -> {
+            clock.advanceMs(EntryView.ENTRY_SILENCE_MS);
+            return FakeRpc.done(new Buried(true));
+        });
+        announceRunner(0);
+        assertFails(requests.handle(request("1", true, 0)), ResultCode.NOT_ADMITTED);
+    }
+
+    @Test
+    void entryThatHasNotJoinedBuriesNothing() {
+        PeerHandler starting = new PeerHandler(board, null, null, null, null, () -> false);
+        assertThatThrownBy(() -> starting.handle(new Bury("1", "tejo")).join())
+                .satisfies(t -> assertThat(JobStoreTest.codeOf(t)).isEqualTo(ResultCode.NOT_READY));
+    }
+
+    @Test
+    void entryLearnsFromItsPeerThatOneWasLost() {
+        ConfigController config = new ConfigController(board, table, null, rpc, clock, () -> {});
+        clock.advanceMs(10_000);
+        rpc.answer((a, m) -> FakeRpc.done(new PeerState(0, null, List.of(), 4_000L)));
+        config.pull(PEER).join();
+        assertThat(board.entries().steadySinceMs(clock.nowMs())).isEqualTo(6_000);
+    }
+
     @Test
     void notRunIsNotSaidWhileARunnerMayHaveIt() {
         rpc.answer((a, m) -> new CompletableFuture<>());
