Revert the call of a runner's agent to itself

Cause: the first request at each of three runners took 0.57, 0.49 and 0.47 s. Ruled out: the agent's HTTP client as the main part: with a call beforehand it was 0.43, 0.38 and 0.33 s. Change: back to the simpler start. Conclusion: a first request after a start is slow by about 0.5 s, agent and stand-in runner together; cause not found.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
@@ -1,12 +1,9 @@
 package io.pollenreach.daemon.internal.agent;
 
-import java.net.URI;
-import java.util.Map;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.ToDoubleFunction;
 
-import com.google.common.net.HostAndPort;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -36,14 +33,13 @@
 public final class AgentDaemon implements AutoCloseable {
     private static final int RPC_THREADS = 1;
     private static final int HTTP_THREADS = 1;
-    private static final long WARM_UP_TIMEOUT_MS = 2_000;
 
     private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, AgentDaemon::thread);
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final AtomicBoolean closed = new AtomicBoolean();
     private final RpcThreads threads = new RpcThreads(RPC_THREADS);
     private final HttpCaller http;
-    private volatile AgentNode node;
+    private AgentNode node;
     private AdminServer admin;
 
     private AgentDaemon(AgentSettings settings) throws Exception {
@@ -81,19 +77,9 @@
     }
 
     private void open(AgentSettings settings, Clock clock) {
-        admin = AdminServer.start(settings.httpAddress(), metrics, this::ready, chain -> {});
-        warmUp(settings);
         node = startNode(settings, clock);
         registerMetrics();
-    }
-
-    /** Makes one HTTP call to itself, since the first call of a process takes hundreds of milliseconds. */
-    private void warmUp(AgentSettings settings) {
-        String host = HostAndPort.fromString(settings.httpAddress()).getHost();
-        URI self = URI.create("http://" + host + ":" + admin.port() + "/health");
-        http.call("GET", self, Map.of(), new byte[0], WARM_UP_TIMEOUT_MS)
-                .handle((reply, t) -> t)
-                .join();
+        admin = AdminServer.start(settings.httpAddress(), metrics, this::ready, chain -> {});
     }
 
     private AgentNode startNode(AgentSettings settings, Clock clock) {
@@ -105,8 +91,7 @@
     }
 
     private boolean ready() {
-        AgentNode n = node;
-        return n != null && n.ready() && !closed.get();
+        return node.ready() && !closed.get();
     }
 
     private void registerMetrics() {
