--- a/systemtest/src/test/java/io/pollenreach/systemtest/JobWavesTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/JobWavesTest.java
@@ -1,16 +1,13 @@
 package io.pollenreach.systemtest;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 import io.pollenreach.JobState;
 import io.pollenreach.ResultCode;
 import io.pollenreach.bench.standin.HistoryEvent;
 import io.pollenreach.bench.standin.PlatformFaults;
-import io.pollenreach.internal.gang.GangTimes;
 import io.pollenreach.internal.jobs.JobRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -25,10 +22,8 @@
     private static final int CANCELLED_JOBS = 20;
     private static final int JOBS = 8;
     private static final long WAIT_MS = 40_000;
-    /** What the gang protocol promises, with time for the runtime to be told and for a busy machine. */
-    private static final long SKEW_MS = 2 * GangTimes.GANG_SILENCE_MS + GangTimes.GANG_BEAT_MS + 2_500;
 
-    private final Map<String, Integer> partsByJob = new HashMap<>();
+    private final SubmittedJobs jobs = new SubmittedJobs();
 
     @Test
     void waveOfCancellationsWhileAnEntryIsKilled() throws Exception {
@@ -47,8 +42,8 @@
             for (CompletableFuture<Integer> answer : answers) {
                 assertThat(answer.join()).isEqualTo(200);
             }
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, WAIT_MS);
+            jobs.check(cluster);
             assertThat(new JobChecks(cluster.platformHistory()).lastRecords().values())
                     .allMatch(r -> r.state() == JobState.CANCELLED && r.code() == ResultCode.CANCELLED.number());
         }
@@ -62,8 +57,8 @@
             for (int i = 0; i < JOBS; i++) {
                 submit(cluster, i, "sleep:300");
             }
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, WAIT_MS);
+            jobs.check(cluster);
             assertThat(cluster.platformHistory())
                     .as("the bad worker was tried")
                     .anyMatch(e -> e.event() instanceof HistoryEvent.TaskEnded end
@@ -88,8 +83,7 @@
     private void submit(Cluster cluster, int number, String command) throws InterruptedException {
         String name = "cut-" + number;
         int parts = 1 + number % 2;
-        partsByJob.put(WORKSPACE + "/" + name, parts);
-        cluster.submit(WORKSPACE, name, parts, ACCELERATORS_PER_PART, command);
+        jobs.submit(cluster, WORKSPACE, name, parts, ACCELERATORS_PER_PART, command);
     }
 
     private static long inState(Cluster cluster, JobState state) {
@@ -99,19 +93,4 @@
                         .filter(s -> s == state)
                         .count();
     }
-
-    private void awaitEnds(Cluster cluster) throws InterruptedException {
-        Await.until("every job ends", WAIT_MS, () -> new JobChecks(cluster.platformHistory())
-                .everyJobEnds(partsByJob.keySet())
-                .isEmpty());
-    }
-
-    private void check(Cluster cluster) {
-        JobChecks checks = new JobChecks(cluster.platformHistory());
-        assertThat(checks.everyJobEnds(partsByJob.keySet())).isEmpty();
-        assertThat(checks.transitions()).isEmpty();
-        assertThat(checks.oneAttemptAlive()).isEmpty();
-        assertThat(checks.workerWithinCapacity(cluster.workers())).isEmpty();
-        assertThat(checks.gangAllOrNothing(partsByJob, SKEW_MS)).isEmpty();
-    }
 }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/JobsReachTheirEndTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/JobsReachTheirEndTest.java
@@ -1,17 +1,12 @@
 package io.pollenreach.systemtest;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Random;
 
 import io.pollenreach.bench.link.LinkFaults;
 import io.pollenreach.bench.standin.PlatformFaults;
-import io.pollenreach.internal.gang.GangTimes;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 /** Jobs under failures: each reaches its end, and its parts run together or not at all. */
 @Timeout(120)
 class JobsReachTheirEndTest {
@@ -23,18 +18,16 @@
     private static final long END_TIMEOUT_MS = 45_000;
     private static final long OUTAGE_MS = 2_000;
     private static final int LOST_PERCENT = 20;
-    /** What the gang protocol promises, with time for the runtime to be told and for a busy machine. */
-    private static final long SKEW_MS = 2 * GangTimes.GANG_SILENCE_MS + GangTimes.GANG_BEAT_MS + 2_500;
 
-    private final Map<String, Integer> partsByJob = new HashMap<>();
+    private final SubmittedJobs jobs = new SubmittedJobs();
 
     @Test
     void entryIsKilled() throws Exception {
         try (Cluster cluster = start("jobs-entry-killed", 21)) {
             submitJobs(cluster, 21);
             cluster.daemon("e1").kill();
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, END_TIMEOUT_MS);
+            jobs.check(cluster);
         }
     }
 
@@ -48,8 +41,8 @@
                 Thread.sleep(500);
                 cluster.daemon(worker).start();
             }
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, END_TIMEOUT_MS);
+            jobs.check(cluster);
         }
     }
 
@@ -64,23 +57,22 @@
             cluster.platformLink().set(LinkFaults.freeze());
             Thread.sleep(OUTAGE_MS);
             cluster.platformLink().set(LinkFaults.NONE);
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, END_TIMEOUT_MS);
+            jobs.check(cluster);
         }
     }
 
     @Test
     void agentIsPausedWhileItsPartOfAGangRuns() throws Exception {
         try (Cluster cluster = start("jobs-agent-paused", 25)) {
-            partsByJob.put(WORKSPACE + "/wide", WORKERS - 1);
-            cluster.submit(WORKSPACE, "wide", WORKERS - 1, Cluster.ACCELERATORS, "sleep:4000");
+            jobs.submit(cluster, WORKSPACE, "wide", WORKERS - 1, Cluster.ACCELERATORS, "sleep:4000");
             Await.until("every part runs", END_TIMEOUT_MS, () -> running(cluster) == WORKERS - 1);
             String paused = TaskRun.of(cluster.platformHistory()).get(0).worker();
             cluster.daemon(paused).freeze();
             Await.until("no part runs", END_TIMEOUT_MS, () -> running(cluster) == 0);
             cluster.daemon(paused).thaw();
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, END_TIMEOUT_MS);
+            jobs.check(cluster);
         }
     }
 
@@ -89,8 +81,8 @@
         try (Cluster cluster = start("jobs-answers-lost", 24)) {
             cluster.platform().setFaults(new PlatformFaults(false, 0, LOST_PERCENT, 24, null, false));
             submitJobs(cluster, 24);
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, END_TIMEOUT_MS);
+            jobs.check(cluster);
         }
     }
 
@@ -103,8 +95,8 @@
             cluster.daemon("e1").kill();
             Thread.sleep(OUTAGE_MS);
             cluster.platform().setFaults(new PlatformFaults(false, 0, 0, 26, null, false));
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, END_TIMEOUT_MS);
+            jobs.check(cluster);
         }
     }
 
@@ -118,8 +110,8 @@
                 cluster.daemon(entry).start();
                 cluster.awaitTargets(WORKERS);
             }
-            awaitEnds(cluster);
-            check(cluster);
+            jobs.awaitEnds(cluster, END_TIMEOUT_MS);
+            jobs.check(cluster);
         }
     }
 
@@ -135,8 +127,7 @@
             String name = "cut-" + i;
             int parts = 1 + random.nextInt(MAX_PARTS);
             String command = "sleep:" + (500 + random.nextInt(1_500));
-            partsByJob.put(WORKSPACE + "/" + name, parts);
-            cluster.submit(WORKSPACE, name, parts, ACCELERATORS_PER_PART, command);
+            jobs.submit(cluster, WORKSPACE, name, parts, ACCELERATORS_PER_PART, command);
         }
     }
 
@@ -145,19 +136,4 @@
                 .filter(r -> r.ran() && r.endMs() == TaskRun.NEVER)
                 .count();
     }
-
-    private void awaitEnds(Cluster cluster) throws InterruptedException {
-        Await.until("every job ends", END_TIMEOUT_MS, () -> new JobChecks(cluster.platformHistory())
-                .everyJobEnds(partsByJob.keySet())
-                .isEmpty());
-    }
-
-    private void check(Cluster cluster) {
-        JobChecks checks = new JobChecks(cluster.platformHistory());
-        assertThat(checks.everyJobEnds(partsByJob.keySet())).isEmpty();
-        assertThat(checks.transitions()).isEmpty();
-        assertThat(checks.oneAttemptAlive()).isEmpty();
-        assertThat(checks.workerWithinCapacity(cluster.workers())).isEmpty();
-        assertThat(checks.gangAllOrNothing(partsByJob, SKEW_MS)).isEmpty();
-    }
 }
