Show a silent target by its name, and let it out of its drain while it is away

Cause: since silence counts as gone, a silent target asked for by name gave 2003 and 'undrain' answered 2003 after it had taken effect; docs/API.md said otherwise. Ruled out: a further state in the target table; its readers need only 'may get work' and 'last known'.

--- a/core/src/main/java/io/pollenreach/internal/membership/TargetTable.java
+++ b/core/src/main/java/io/pollenreach/internal/membership/TargetTable.java
@@ -96,6 +96,11 @@
         return Optional.ofNullable(targets.get(id)).filter(k -> !k.gone).map(k -> k.info);
     }
 
+    /** Returns the newest announcement of a target, also when it has gone, until it is forgotten. */
+    public synchronized Optional<TargetInfo> lastKnown(String id) {
+        return Optional.ofNullable(targets.get(id)).map(k -> k.info);
+    }
+
     /** Tells whether a target may get new work. */
     public synchronized boolean usable(String id, long nowMs) {
         Known known = targets.get(id);
--- a/core/src/test/java/io/pollenreach/internal/membership/TargetTableTest.java
+++ b/core/src/test/java/io/pollenreach/internal/membership/TargetTableTest.java
@@ -85,6 +85,14 @@
         assertThat(table.changesSince(upTo).targets()).containsExactly(target("t", 1, 2));
     }
 
+    @Test
+    void silentTargetIsStillKnownByName() {
+        table.announced(target("t", 1, 1), 0);
+        table.sweep(TargetTable.TARGET_SILENCE_MS);
+        assertThat(table.find("t")).isEmpty();
+        assertThat(table.lastKnown("t")).contains(target("t", 1, 1));
+    }
+
     @Test
     void onlyTheHomeCanSayThatTargetHasGone() {
         table.relayed(target("t", 1, 1), "old-home", 0);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigApi.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigApi.java
@@ -154,7 +154,7 @@
     private TargetInfo find(Context ctx) {
         String name = ctx.getPathTokens().get("name");
         return board.targets()
-                .find(name)
+                .lastKnown(name)
                 .orElseThrow(() -> new PollenreachException(ResultCode.NOT_FOUND, "target " + name));
     }
 
@@ -180,12 +180,23 @@
                 JsonNode on = Json.lenient().createObjectNode().put("draining", true);
                 return config.put(key, on, Optional.empty()).thenApply(r -> Reply.json(target(find(ctx))));
             case "undrain":
-                return config.delete(key, Optional.empty()).thenApply(v -> Reply.json(target(find(ctx))));
+                return config.delete(key, Optional.empty()).thenApply(v -> Reply.json(undrained(name)));
             default:
                 throw new PollenreachException(ResultCode.NOT_FOUND, "there is drain and undrain");
         }
     }
 
+    /** A target may be taken out of its drain while it is away, so that it need not be known. */
+    private ObjectNode undrained(String name) {
+        return board.targets().lastKnown(name).map(this::target).orElseGet(() -> {
+            ObjectNode node = Json.lenient().createObjectNode();
+            node.put("kind", "Target");
+            node.put("name", name);
+            node.putObject("status").put("state", "SILENT");
+            return node;
+        });
+    }
+
     private static CompletableFuture<Reply> done(JsonNode node) {
         return CompletableFuture.completedFuture(Reply.json(node));
     }
