--- a/core/src/main/java/io/pollenreach/ResultCode.java
+++ b/core/src/main/java/io/pollenreach/ResultCode.java
@@ -45,6 +45,7 @@
     WRITE_UNKNOWN(6002, 503, "The platform's store did not confirm the write; it may have taken effect."),
     NOT_READY(6003, 503, "This process has not yet learned a configuration."),
     DRAINING(6004, 503, "This process is shutting down."),
+    HISTORY_GONE(6005, 503, "The platform's store no longer has the changes after that version."),
     PEER_UNREACHABLE(7001, 502, "Another process of the system does not answer."),
     PEER_TIMEOUT(7002, 504, "Another process of the system answered too late."),
     BAD_FRAME(7003, 400, "A frame is cut, too long or not readable."),
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -0,0 +1,51 @@
+package io.pollenreach.internal.batch;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+
+/**
+ * A job as it was submitted, with the policy of its queue at that time.
+ *
+ * <p>Immutable.
+ *
+ * @param id the submitter's id; unique
+ * @param queue the queue that took the job
+ * @param workspace the workspace whose key submitted it
+ * @param pool the pool of workers that runs it
+ * @param priority 0 is the most urgent
+ * @param maxAttempts how often a task may fail before the job fails
+ * @param payload what the tasks run, handed to workers unchanged
+ * @param steps the steps
+ * @param recurrence when the steps run again; null for a job that runs once
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record BatchJob(
+        String id,
+        String queue,
+        String workspace,
+        String pool,
+        int priority,
+        int maxAttempts,
+        String payload,
+        List<StepSpec> steps,
+        Recurrence recurrence) {
+    public BatchJob {
+        steps = List.copyOf(steps);
+    }
+
+    /** Returns how many times the steps run. */
+    public int occurrences() {
+        return recurrence == null ? 1 : recurrence.times();
+    }
+
+    /** Returns when an occurrence may start, in milliseconds since the Unix epoch; 0 for at once. */
+    public long dueMs(int occurrence) {
+        return recurrence == null ? 0 : recurrence.dueMs(occurrence);
+    }
+
+    /** Returns the accelerators that the widest step of one occurrence holds. */
+    public int accelerators() {
+        return steps.stream().mapToInt(s -> s.total().accelerators()).max().orElse(0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -0,0 +1,409 @@
+package io.pollenreach.internal.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Everything that the scheduler in office knows: jobs, workers, and what changed since it was last stored.
+ *
+ * <p>Invariants: a task is placed only when no worker's orders name it any more; a placement is visible to agents only
+ * once the change that {@link #changes()} returns was stored; ends count only for the run that the task is placed as. Not
+ * safe for use by many threads: the scheduler's thread owns it.
+ */
+public final class ClusterBook {
+    /** Rows to store together. Immutable. */
+    public record Changes(Map<String, ProgressRow> jobs, Map<String, WorkOrders> workers) {
+        /** Tells whether there is nothing to store. */
+        public boolean isEmpty() {
+            return jobs.isEmpty() && workers.isEmpty();
+        }
+    }
+
+    private final DecisionLog log;
+    private final Map<String, JobProgress> jobs = new LinkedHashMap<>();
+    private final Map<String, WorkerBook> workers = new TreeMap<>();
+    private final Set<String> cancelled = new HashSet<>();
+    private final Set<String> changedJobs = new LinkedHashSet<>();
+    private final Set<String> changedWorkers = new LinkedHashSet<>();
+    private Map<String, Integer> guarantees = Map.of();
+
+    /** Creates an empty book that notes its decisions. */
+    public ClusterBook(DecisionLog log) {
+        this.log = log;
+    }
+
+    /** Sets how many accelerators each workspace has for its most urgent jobs at all times. */
+    public void setGuarantees(Map<String, Integer> acceleratorsByWorkspace) {
+        guarantees = Map.copyOf(acceleratorsByWorkspace);
+    }
+
+    /** Adds a job that was accepted. */
+    public void accept(BatchJob job, long sequence, long nowMs) {
+        if (jobs.containsKey(job.id())) {
+            return;
+        }
+        add(new JobProgress(job, sequence, nowMs), nowMs);
+        changedJobs.add(job.id());
+    }
+
+    /** Adds a job whose progress an earlier scheduler stored. */
+    public void restore(BatchJob job, long sequence, ProgressRow row, long nowMs) {
+        add(JobProgress.fromRow(job, sequence, row, nowMs), nowMs);
+    }
+
+    private void add(JobProgress job, long nowMs) {
+        jobs.put(job.job().id(), job);
+        if (cancelled.contains(job.job().id())) {
+            cancel(job.job().id(), nowMs);
+        }
+    }
+
+    /** Adds a worker with the orders that an earlier scheduler stored; all its jobs must have been added before. */
+    public void restore(WorkerReport report, long reportVersion, WorkOrders orders, long ordersVersion, long nowMs) {
+        WorkerBook worker = new WorkerBook(report, reportVersion, nowMs);
+        worker.restore(orders, ordersVersion, this::occupied, nowMs);
+        workers.put(worker.name(), worker);
+        report(report, reportVersion, nowMs);
+    }
+
+    /**
+     * Finishes what {@code restore} began: tasks whose run no worker's orders name wait again.
+     *
+     * <p>Progress is stored before or with the orders, so such a run was never ordered, or its worker is gone.
+     */
+    public void restored(long nowMs) {
+        for (JobProgress job : jobs.values()) {
+            job.tasks()
+                    .filter(t -> t.state() == TaskProgress.State.PLACED && !ordered(t))
+                    .toList()
+                    .forEach(t -> lose(job, t, "no-orders", nowMs));
+        }
+    }
+
+    private boolean ordered(TaskProgress t) {
+        WorkerBook w = workers.get(t.worker());
+        return w != null && w.runs().contains(t.taskRun());
+    }
+
+    /** Cancels a job, now or as soon as it is known. */
+    public void cancel(String id, long nowMs) {
+        cancelled.add(id);
+        JobProgress job = jobs.get(id);
+        if (job != null && !job.phase().ended()) {
+            end(job, JobPhase.CANCELLED, nowMs);
+        }
+    }
+
+    private void end(JobProgress job, JobPhase how, long nowMs) {
+        job.end(how, nowMs);
+        changedJobs.add(job.job().id());
+        job.tasks().filter(t -> t.state() == TaskProgress.State.PLACED).forEach(t -> stop(t, nowMs));
+        log.note("job-ended", "job", job.job().id(), "phase", how, "sinceAcceptedMs", nowMs - job.acceptedMs());
+    }
+
+    private void stop(TaskProgress t, long nowMs) {
+        WorkerBook w = workers.get(t.worker());
+        if (w != null && w.stop(t.taskRun(), nowMs)) {
+            changedWorkers.add(w.name());
+        }
+    }
+
+    /** Takes a report; a worker under a new life or marked as lost has lost all its runs. */
+    public void report(WorkerReport report, long version, long nowMs) {
+        WorkerBook w = workers.get(report.agent());
+        if (w == null) {
+            w = new WorkerBook(report, version, nowMs);
+            workers.put(w.name(), w);
+            changedWorkers.add(w.name());
+            log.note("worker-joined", "worker", w.name(), "life", report.life(), "pool", report.pool());
+        }
+        if (version < w.reportVersion()) {
+            return;
+        }
+        w.report().active().forEach(this::save);
+        w.hear(report, version, nowMs);
+        if (report.lost() || !w.sameLife(report)) {
+            loseRuns(w, report.lost() ? "worker-lost" : "worker-restarted", nowMs);
+            return;
+        }
+        report.active().forEach(this::save);
+        for (RunEnd end : report.ends()) {
+            if (end.kind() == EndKind.REFUSED || w.takeEnd(end.number())) {
+                take(w, end, nowMs);
+            }
+        }
+        for (RunningTask a : report.active()) {
+            if (w.stopStray(a.run(), occupied(a.run().task()), nowMs)) {
+                log.note(
+                        "stray-run-stopped",
+                        "worker",
+                        w.name(),
+                        "task",
+                        a.run().task(),
+                        "run",
+                        a.run().run());
+                changedWorkers.add(w.name());
+            }
+        }
+        if (w.removeFinishedStops()) {
+            changedWorkers.add(w.name());
+        }
+    }
+
+    private void save(RunningTask a) {
+        JobProgress job = jobs.get(a.run().task().job());
+        if (job == null || a.checkpoint().isEmpty()) {
+            return;
+        }
+        job.find(a.run().task())
+                .filter(t -> t.state() == TaskProgress.State.PLACED
+                        && t.run() == a.run().run())
+                .ifPresent(t -> saveAll(job, t, a.checkpoint()));
+    }
+
+    // Any member's checkpoint is valid for its gang, and all members must go on from the same one.
+    private static void saveAll(JobProgress job, TaskProgress t, String checkpoint) {
+        if (job.spec(t.id()).gang()) {
+            job.step(t.id()).forEach(m -> m.save(checkpoint));
+        } else {
+            t.save(checkpoint);
+        }
+    }
+
+    private void loseRuns(WorkerBook w, String why, long nowMs) {
+        List<TaskRun> runs = w.runs();
+        w.startLife();
+        changedWorkers.add(w.name());
+        log.note("worker-runs-lost", "worker", w.name(), "life", w.report().life(), "why", why, "runs", runs.size());
+        for (TaskRun run : runs) {
+            JobProgress job = jobs.get(run.task().job());
+            if (job != null) {
+                job.find(run.task()).filter(t -> t.at(w.name(), run.run())).ifPresent(t -> lose(job, t, why, nowMs));
+            }
+        }
+    }
+
+    private void lose(JobProgress job, TaskProgress t, String why, long nowMs) {
+        changedJobs.add(job.job().id());
+        awaitAgain(job, t, nowMs);
+        log.note("task-lost", "task", t.id(), "run", t.run(), "why", why, "checkpoint", t.checkpoint());
+    }
+
+    private void awaitAgain(JobProgress job, TaskProgress t, long nowMs) {
+        if (!job.spec(t.id()).gang()) {
+            t.await(nowMs);
+            return;
+        }
+        for (TaskProgress m : job.step(t.id())) {
+            if (m.state() == TaskProgress.State.PLACED) {
+                stop(m, nowMs);
+                m.await(nowMs);
+            }
+        }
+    }
+
+    private void take(WorkerBook w, RunEnd end, long nowMs) {
+        if (w.remove(end.run()) || end.kind() != EndKind.REFUSED) {
+            changedWorkers.add(w.name());
+        }
+        TaskRun run = end.run();
+        JobProgress job = jobs.get(run.task().job());
+        TaskProgress t = job == null ? null : job.find(run.task()).orElse(null);
+        boolean current = t != null && t.at(w.name(), run.run());
+        if (end.kind() != EndKind.REFUSED || current) {
+            log.note(
+                    "run-ended",
+                    "task",
+                    run.task(),
+                    "run",
+                    run.run(),
+                    "worker",
+                    w.name(),
+                    "kind",
+                    end.kind(),
+                    "number",
+                    end.number(),
+                    "current",
+                    current);
+        }
+        if (!current || job.phase().ended()) {
+            return;
+        }
+        changedJobs.add(job.job().id());
+        saveAll(job, t, end.checkpoint());
+        switch (end.kind()) {
+            case DONE -> finish(w, job, t, nowMs);
+            case FAILED -> fail(w, job, t, nowMs);
+            default -> awaitAgain(job, t, nowMs);
+        }
+    }
+
+    private void finish(WorkerBook w, JobProgress job, TaskProgress t, long nowMs) {
+        StepSpec spec = job.spec(t.id());
+        w.health().succeeded();
+        if (spec.longRunning()) {
+            awaitAgain(job, t, nowMs);
+            return;
+        }
+        if (spec.gang()) {
+            // The end of one member stands for all of them.
+            for (TaskProgress m : job.step(t.id())) {
+                if (m.state() == TaskProgress.State.PLACED) {
+                    stop(m, nowMs);
+                }
+                m.finish();
+            }
+        } else {
+            t.finish();
+        }
+        job.completeWhenDone(nowMs);
+        if (job.phase().ended()) {
+            log.note(
+                    "job-ended",
+                    "job",
+                    job.job().id(),
+                    "phase",
+                    job.phase(),
+                    "sinceAcceptedMs",
+                    nowMs - job.acceptedMs());
+        }
+    }
+
+    private void fail(WorkerBook w, JobProgress job, TaskProgress t, long nowMs) {
+        StepSpec spec = job.spec(t.id());
+        List<TaskProgress> failed = spec.gang() ? job.step(t.id()) : List.of(t);
+        failed.forEach(TaskProgress::fail);
+        w.health().failed(t.id(), nowMs);
+        if (!spec.longRunning() && t.failures() >= job.job().maxAttempts()) {
+            end(job, JobPhase.FAILED, nowMs);
+            return;
+        }
+        awaitAgain(job, t, nowMs);
+    }
+
+    /** Returns the agents whose workers gave no report for a time, in milliseconds, though they may hold runs. */
+    public List<WorkerReport> silentFor(long silenceMs, long nowMs) {
+        return workers.values().stream()
+                .filter(w -> !w.report().lost() && nowMs - w.heardMs() > silenceMs)
+                .map(WorkerBook::report)
+                .toList();
+    }
+
+    /** Returns the store's version of an agent's newest report; 0 when there is none. */
+    public long reportVersion(String agent) {
+        WorkerBook w = workers.get(agent);
+        return w == null ? 0 : w.reportVersion();
+    }
+
+    /** Places what can be placed. */
+    public void plan(long nowMs, long wallMs) {
+        new PlacementPass(this, log, nowMs, wallMs).run();
+    }
+
+    Map<String, JobProgress> jobs() {
+        return jobs;
+    }
+
+    Collection<WorkerBook> workers() {
+        return workers.values();
+    }
+
+    int guarantee(String workspace) {
+        return guarantees.getOrDefault(workspace, 0);
+    }
+
+    /** Tells whether some worker's orders still name the task. */
+    boolean blocked(TaskId task) {
+        return workers.values().stream().anyMatch(w -> w.holds(task));
+    }
+
+    void place(JobProgress job, List<Room.Assignment> assignments, long nowMs) {
+        StepSpec spec = job.spec(assignments.get(0).task().id());
+        int gangRun = assignments.stream().mapToInt(a -> a.task().run()).max().orElse(0) + 1;
+        for (Room.Assignment a : assignments) {
+            TaskProgress t = a.task();
+            t.place(a.worker().name(), spec.gang() ? gangRun : t.run() + 1, nowMs);
+            String checkpoint = spec.checkpointing() ? t.checkpoint() : "";
+            a.worker().order(new WorkOrders.OrderedRun(t.taskRun(), job.job().payload(), checkpoint), spec.occupied());
+            changedWorkers.add(a.worker().name());
+            log.note(
+                    "task-placed",
+                    "task",
+                    t.id(),
+                    "run",
+                    t.run(),
+                    "worker",
+                    t.worker(),
+                    "waitedMs",
+                    nowMs - t.waitingSinceMs(),
+                    "checkpoint",
+                    checkpoint,
+                    "failures",
+                    t.failures());
+        }
+        job.started();
+        changedJobs.add(job.job().id());
+    }
+
+    /** Ends a run so that its room can be used for something more urgent. */
+    void preempt(TaskProgress t, TaskId by, long nowMs) {
+        JobProgress job = jobs.get(t.id().job());
+        log.note("task-preempted", "task", t.id(), "run", t.run(), "worker", t.worker(), "by", by);
+        stop(t, nowMs);
+        awaitAgain(job, t, nowMs);
+        changedJobs.add(job.job().id());
+    }
+
+    private Resources occupied(TaskId task) {
+        JobProgress job = jobs.get(task.job());
+        boolean known = job != null && task.step() < job.job().steps().size();
+        return known ? job.spec(task).occupied() : Resources.NONE;
+    }
+
+    /** Returns, for each queue, how many accepted jobs have not started; jobs that recur are not counted. */
+    public Map<String, Integer> waitingByQueue() {
+        Map<String, Integer> count = new HashMap<>();
+        jobs.values().stream()
+                .filter(j -> j.phase() == JobPhase.QUEUED && j.job().recurrence() == null)
+                .forEach(j -> count.merge(j.job().queue(), 1, Integer::sum));
+        return count;
+    }
+
+    /** Returns what must be stored before agents may act on it. */
+    public Changes changes() {
+        Map<String, ProgressRow> rows = new LinkedHashMap<>();
+        changedJobs.forEach(id -> rows.put(id, jobs.get(id).toRow()));
+        Map<String, WorkOrders> orders = new LinkedHashMap<>();
+        changedWorkers.forEach(n -> orders.put(n, workers.get(n).toOrders()));
+        return new Changes(rows, orders);
+    }
+
+    /** Notes that everything that {@link #changes()} returned was stored under a version. */
+    public void committed(long version) {
+        changedWorkers.forEach(n -> workers.get(n).committed(version));
+        changedJobs.clear();
+        changedWorkers.clear();
+    }
+
+    /** Forgets jobs that ended longer ago than a time, in milliseconds, and returns their ids. */
+    public List<String> expire(long keepMs, long nowMs) {
+        List<String> old = new ArrayList<>();
+        for (JobProgress j : jobs.values()) {
+            boolean stored = !changedJobs.contains(j.job().id());
+            if (j.phase().ended() && nowMs - j.endedMs() > keepMs && stored) {
+                old.add(j.job().id());
+            }
+        }
+        old.forEach(jobs::remove);
+        old.forEach(cancelled::remove);
+        return old;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -0,0 +1,167 @@
+package io.pollenreach.internal.batch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * A job and how far each of its tasks is.
+ *
+ * <p>Invariants: a step's tasks are only offered for placement when every step that it comes after is done; the members
+ * of a gang carry the same run number, failures and checkpoint; a phase that has ended never changes. Not safe for use by
+ * many threads: the scheduler's thread owns it.
+ */
+public final class JobProgress {
+    private final BatchJob job;
+    private final long sequence;
+    private final long acceptedMs;
+    private final Map<Integer, List<List<TaskProgress>>> occurrences = new TreeMap<>();
+    private JobPhase phase = JobPhase.QUEUED;
+    private long endedMs;
+
+    /**
+     * Creates the progress of a job that was just accepted.
+     *
+     * @param job the job
+     * @param sequence the store's version of the job's row; older jobs have smaller ones
+     * @param acceptedMs when the scheduler learned of it, by the scheduler's steady clock
+     */
+    public JobProgress(BatchJob job, long sequence, long acceptedMs) {
+        this.job = job;
+        this.sequence = sequence;
+        this.acceptedMs = acceptedMs;
+    }
+
+    /** Restores the progress of a job from its row. */
+    public static JobProgress fromRow(BatchJob job, long sequence, ProgressRow row, long nowMs) {
+        JobProgress progress = new JobProgress(job, sequence, nowMs);
+        progress.phase = row.phase();
+        progress.endedMs = nowMs;
+        for (ProgressRow.TaskRow t : row.tasks()) {
+            List<TaskProgress> step = progress.open(t.occurrence(), nowMs).get(t.step());
+            TaskId id = new TaskId(job.id(), t.occurrence(), t.step(), t.index());
+            step.set(t.index(), TaskProgress.from(t, id, nowMs));
+        }
+        return progress;
+    }
+
+    /** Returns the row from which {@link #fromRow} restores this progress. */
+    public ProgressRow toRow() {
+        return new ProgressRow(
+                phase,
+                tasks().filter(TaskProgress::touched).map(TaskProgress::toRow).toList());
+    }
+
+    /** Returns the job as it was submitted. */
+    public BatchJob job() {
+        return job;
+    }
+
+    /** Returns where the job stands. */
+    public JobPhase phase() {
+        return phase;
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
+    long acceptedMs() {
+        return acceptedMs;
+    }
+
+    long endedMs() {
+        return endedMs;
+    }
+
+    Stream<TaskProgress> tasks() {
+        return occurrences.values().stream().flatMap(List::stream).flatMap(List::stream);
+    }
+
+    StepSpec spec(TaskId id) {
+        return job.steps().get(id.step());
+    }
+
+    List<TaskProgress> step(TaskId id) {
+        return occurrences.get(id.occurrence()).get(id.step());
+    }
+
+    Optional<TaskProgress> find(TaskId id) {
+        List<List<TaskProgress>> steps = occurrences.get(id.occurrence());
+        if (steps == null
+                || id.step() >= steps.size()
+                || id.index() >= steps.get(id.step()).size()) {
+            return Optional.empty();
+        }
+        return Optional.of(steps.get(id.step()).get(id.index()));
+    }
+
+    /** Creates the tasks of every occurrence that is due. */
+    void openDue(long wallMs, long nowMs) {
+        for (int k = occurrences.size(); k < job.occurrences() && job.dueMs(k) <= wallMs; k++) {
+            open(k, nowMs);
+        }
+    }
+
+    /** Returns when the next occurrence is due, in milliseconds since the Unix epoch. */
+    Optional<Long> nextDueMs() {
+        int next = occurrences.size();
+        return next < job.occurrences() ? Optional.of(job.dueMs(next)) : Optional.empty();
+    }
+
+    private List<List<TaskProgress>> open(int occurrence, long nowMs) {
+        return occurrences.computeIfAbsent(occurrence, k -> {
+            List<List<TaskProgress>> steps = new ArrayList<>();
+            for (int s = 0; s < job.steps().size(); s++) {
+                List<TaskProgress> tasks = new ArrayList<>();
+                for (int i = 0; i < job.steps().get(s).taskCount(); i++) {
+                    tasks.add(new TaskProgress(new TaskId(job.id(), k, s, i), nowMs));
+                }
+                steps.add(tasks);
+            }
+            return steps;
+        });
+    }
+
+    /** Returns the steps, as lists of tasks, whose predecessors are done and that are not done themselves. */
+    List<List<TaskProgress>> readySteps() {
+        List<List<TaskProgress>> ready = new ArrayList<>();
+        for (List<List<TaskProgress>> steps : occurrences.values()) {
+            for (int s = 0; s < steps.size(); s++) {
+                boolean free = job.steps().get(s).after().stream().allMatch(a -> done(steps.get(a)));
+                if (free && !done(steps.get(s))) {
+                    ready.add(steps.get(s));
+                }
+            }
+        }
+        return ready;
+    }
+
+    private static boolean done(List<TaskProgress> tasks) {
+        return tasks.stream().allMatch(t -> t.state() == TaskProgress.State.DONE);
+    }
+
+    void started() {
+        if (phase == JobPhase.QUEUED) {
+            phase = JobPhase.RUNNING;
+        }
+    }
+
+    void completeWhenDone(long nowMs) {
+        boolean all = occurrences.size() == job.occurrences()
+                && occurrences.values().stream().flatMap(List::stream).allMatch(JobProgress::done);
+        if (all) {
+            end(JobPhase.COMPLETED, nowMs);
+        }
+    }
+
+    void end(JobPhase how, long nowMs) {
+        if (!phase.ended()) {
+            phase = how;
+            endedMs = nowMs;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
@@ -0,0 +1,50 @@
+package io.pollenreach.internal.batch;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+
+/**
+ * How far a job is, as it is stored; only the scheduler in office writes it.
+ *
+ * <p>Immutable.
+ *
+ * @param phase where the job stands
+ * @param tasks the tasks that were placed at least once
+ */
+public record ProgressRow(JobPhase phase, List<TaskRow> tasks) {
+    public ProgressRow {
+        tasks = tasks == null ? List.of() : List.copyOf(tasks);
+    }
+
+    /**
+     * How far one task is.
+     *
+     * <p>Immutable.
+     *
+     * @param occurrence which repetition of the job
+     * @param step the index of the step
+     * @param index the index of the task in its step
+     * @param state where the task stands
+     * @param run the number of the newest run
+     * @param failures how many runs ended as failed
+     * @param worker the agent's name of the worker that holds it; empty when not placed
+     * @param checkpoint the saved work; empty for none
+     */
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+    public record TaskRow(
+            int occurrence,
+            int step,
+            int index,
+            TaskProgress.State state,
+            int run,
+            int failures,
+            String worker,
+            String checkpoint) {
+        public TaskRow {
+            worker = worker == null ? "" : worker;
+            checkpoint = checkpoint == null ? "" : checkpoint;
+            state = state == null ? TaskProgress.State.WAITING : state;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
@@ -0,0 +1,120 @@
+package io.pollenreach.internal.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Finds the runs that lose the least work when they make room for guaranteed tasks.
+ *
+ * <p>Only runs of less urgent jobs are taken; a member of a gang counts with the work of its whole gang. For use by one
+ * thread.
+ */
+final class Reclaim {
+    /** How long a worker may take over a stop before its room is no longer counted on, in milliseconds. */
+    static final long STOP_PATIENCE_MS = 1_500;
+
+    /** What a restart is taken to cost, in milliseconds of the task's resources; the platform's time to restore. */
+    private static final double RESTART_MS = 500;
+
+    /** What to end and where the tasks then go. Immutable. */
+    record Plan(List<Room.Assignment> assignments, List<TaskProgress> victims, double lostCoreMs) {}
+
+    private final Map<String, JobProgress> jobs;
+    private final Room room;
+    private final long nowMs;
+
+    Reclaim(Map<String, JobProgress> jobs, Room room, long nowMs) {
+        this.jobs = jobs;
+        this.room = room;
+        this.nowMs = nowMs;
+    }
+
+    /** Returns the cheapest way to make room for all tasks of a step, or nothing when no way exists. */
+    Optional<Plan> find(
+            List<TaskProgress> tasks, StepSpec spec, int priority, Collection<WorkerBook> among, boolean oneRack) {
+        return Room.groups(among, oneRack).stream()
+                .map(g -> within(tasks, spec, priority, g))
+                .flatMap(Optional::stream)
+                .min(Comparator.comparingDouble(Plan::lostCoreMs));
+    }
+
+    private Optional<Plan> within(List<TaskProgress> tasks, StepSpec spec, int priority, List<WorkerBook> group) {
+        Room whole = new Room(group, w -> room.of(w)
+                .plus(w.freeingSoon(nowMs, STOP_PATIENCE_MS))
+                .plus(preemptible(w, priority).stream().map(this::occupied).reduce(Resources.NONE, Resources::plus)));
+        Set<TaskProgress> victims = new LinkedHashSet<>();
+        Optional<List<Room.Assignment>> fit = whole.fit(tasks, spec, group, false, w -> costOfWhole(w, priority));
+        if (fit.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Room.Assignment> chosen = fit.get();
+        for (WorkerBook w :
+                chosen.stream().map(Room.Assignment::worker).distinct().toList()) {
+            long count = chosen.stream().filter(a -> a.worker() == w).count();
+            Resources need = Resources.NONE;
+            for (int i = 0; i < count; i++) {
+                need = need.plus(spec.occupied());
+            }
+            addVictims(w, need, priority, victims);
+        }
+        double lost = victims.stream().mapToDouble(this::lostCoreMs).sum();
+        return Optional.of(new Plan(chosen, List.copyOf(victims), lost));
+    }
+
+    private void addVictims(WorkerBook w, Resources need, int priority, Set<TaskProgress> victims) {
+        Resources have = room.of(w).plus(w.freeingSoon(nowMs, STOP_PATIENCE_MS));
+        List<TaskProgress> candidates = new ArrayList<>(preemptible(w, priority));
+        candidates.sort(Comparator.comparingDouble(this::lostCoreMs));
+        List<TaskProgress> taken = new ArrayList<>();
+        for (TaskProgress t : candidates) {
+            if (need.fitsIn(have)) {
+                break;
+            }
+            taken.add(t);
+            have = have.plus(occupied(t));
+        }
+        // The last ones taken may make earlier, smaller ones needless.
+        for (TaskProgress t : List.copyOf(taken)) {
+            Resources without = have.minus(occupied(t));
+            if (need.fitsIn(without)) {
+                taken.remove(t);
+                have = without;
+            }
+        }
+        victims.addAll(taken);
+    }
+
+    private double costOfWhole(WorkerBook w, int priority) {
+        return preemptible(w, priority).stream().mapToDouble(this::lostCoreMs).sum();
+    }
+
+    private List<TaskProgress> preemptible(WorkerBook w, int priority) {
+        List<TaskProgress> found = new ArrayList<>();
+        for (TaskRun run : w.runs()) {
+            JobProgress job = jobs.get(run.task().job());
+            if (job != null && job.job().priority() > priority) {
+                job.find(run.task()).ifPresent(found::add);
+            }
+        }
+        return found;
+    }
+
+    private Resources occupied(TaskProgress t) {
+        return jobs.get(t.id().job()).spec(t.id()).occupied();
+    }
+
+    private double lostCoreMs(TaskProgress t) {
+        JobProgress job = jobs.get(t.id().job());
+        StepSpec spec = job.spec(t.id());
+        double members = spec.gang() ? spec.taskCount() : 1;
+        double unsavedMs = spec.checkpointing() ? 0 : nowMs - t.placedMs();
+        // A restart costs something even when all work is saved.
+        return members * spec.need().cores() * (unsavedMs + RESTART_MS);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/Room.java
@@ -0,0 +1,138 @@
+package io.pollenreach.internal.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+
+/**
+ * The room on a set of workers while a round of placement goes on.
+ *
+ * <p>Placing and claiming take from it. For use by one thread.
+ */
+final class Room {
+    /** A task and the worker chosen for it. Immutable. */
+    record Assignment(TaskProgress task, WorkerBook worker) {}
+
+    private final Map<WorkerBook, Resources> free = new HashMap<>();
+
+    Room(Collection<WorkerBook> workers, Function<WorkerBook, Resources> size) {
+        workers.forEach(w -> free.put(w, size.apply(w)));
+    }
+
+    Resources of(WorkerBook worker) {
+        return free.get(worker);
+    }
+
+    void take(WorkerBook worker, Resources need) {
+        free.computeIfPresent(worker, (w, f) -> f.minus(need));
+    }
+
+    /** Finds places when no worker is dearer than another. */
+    Optional<List<Assignment>> fit(
+            List<TaskProgress> tasks, StepSpec spec, Collection<WorkerBook> among, boolean oneRack) {
+        return fit(tasks, spec, among, oneRack, w -> 0);
+    }
+
+    void take(List<Assignment> assignments, Resources need) {
+        assignments.forEach(a -> take(a.worker(), need));
+    }
+
+    /**
+     * Finds places for all tasks, or none.
+     *
+     * @param tasks tasks of one step
+     * @param spec the step
+     * @param among the workers that may be used
+     * @param oneRack whether all tasks must go to one rack
+     * @param cost what using a worker costs; cheap ones are filled first
+     * @return one assignment a task, on the group of workers that is left with the least room
+     */
+    Optional<List<Assignment>> fit(
+            List<TaskProgress> tasks,
+            StepSpec spec,
+            Collection<WorkerBook> among,
+            boolean oneRack,
+            ToDoubleFunction<WorkerBook> cost) {
+        return groups(among, oneRack).stream()
+                .map(g -> fill(tasks, spec, g, cost))
+                .flatMap(Optional::stream)
+                .min(Comparator.comparingDouble(a -> slack(a, spec)));
+    }
+
+    static Collection<List<WorkerBook>> groups(Collection<WorkerBook> among, boolean oneRack) {
+        if (!oneRack) {
+            return List.of(new ArrayList<>(among));
+        }
+        return among.stream()
+                .collect(Collectors.groupingBy(w -> w.report().rack()))
+                .values();
+    }
+
+    private Optional<List<Assignment>> fill(
+            List<TaskProgress> tasks, StepSpec spec, List<WorkerBook> group, ToDoubleFunction<WorkerBook> cost) {
+        List<WorkerBook> order = new ArrayList<>(group);
+        order.sort(Comparator.<WorkerBook>comparingInt(w -> suspicion(w, tasks))
+                .thenComparingDouble(cost)
+                .thenComparingDouble(w -> leftover(w, spec.occupied()))
+                .thenComparing(WorkerBook::name));
+        List<Assignment> chosen = new ArrayList<>();
+        for (WorkerBook w : order) {
+            int slots = Math.min(slots(w, spec, tasks.get(0).id()), tasks.size() - chosen.size());
+            for (int i = 0; i < slots; i++) {
+                chosen.add(new Assignment(tasks.get(chosen.size()), w));
+            }
+        }
+        return chosen.size() == tasks.size() ? Optional.of(chosen) : Optional.empty();
+    }
+
+    private int slots(WorkerBook w, StepSpec spec, TaskId any) {
+        Resources room = free.get(w);
+        Resources need = spec.occupied();
+        long n = Integer.MAX_VALUE;
+        n = Math.min(n, quotient(room.milliCpu(), need.milliCpu()));
+        n = Math.min(n, quotient(room.memoryMb(), need.memoryMb()));
+        n = Math.min(n, quotient(room.accelerators(), need.accelerators()));
+        if (spec.maxPerWorker() > 0) {
+            n = Math.min(n, spec.maxPerWorker() - w.countOfStep(any));
+        }
+        return (int) Math.max(0, n);
+    }
+
+    private static long quotient(long room, long need) {
+        return need <= 0 ? Integer.MAX_VALUE : Math.max(0, room / need);
+    }
+
+    private static int suspicion(WorkerBook w, List<TaskProgress> tasks) {
+        boolean failedHere = tasks.stream().anyMatch(t -> t.failedOn().equals(w.name()));
+        return w.health().failures() + (failedHere ? 1 : 0);
+    }
+
+    private double leftover(WorkerBook w, Resources need) {
+        return fraction(free.get(w).minus(need), w.report().capacity());
+    }
+
+    private double slack(List<Assignment> assignments, StepSpec spec) {
+        return assignments.stream()
+                .map(Assignment::worker)
+                .distinct()
+                .mapToDouble(w -> leftover(w, spec.occupied()))
+                .sum();
+    }
+
+    private static double fraction(Resources part, Resources whole) {
+        return ratio(part.milliCpu(), whole.milliCpu())
+                + ratio(part.memoryMb(), whole.memoryMb())
+                + ratio(part.accelerators(), whole.accelerators());
+    }
+
+    private static double ratio(long part, long whole) {
+        return whole <= 0 ? 0 : (double) part / whole;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskId.java
@@ -0,0 +1,46 @@
+package io.pollenreach.internal.batch;
+
+import java.util.Optional;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.google.common.base.Splitter;
+
+/**
+ * Names one task; its text form is {@code job.occurrence.step.index}.
+ *
+ * <p>Immutable.
+ */
+public record TaskId(String job, int occurrence, int step, int index) {
+    private static final Splitter DOTS = Splitter.on('.');
+    private static final int PARTS = 4;
+
+    /** Parses the text form; empty when it is not one. */
+    public static Optional<TaskId> parse(String text) {
+        var parts = DOTS.splitToList(text);
+        if (parts.size() != PARTS) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new TaskId(
+                    parts.get(0),
+                    Integer.parseInt(parts.get(1)),
+                    Integer.parseInt(parts.get(2)),
+                    Integer.parseInt(parts.get(3))));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Parses the text form that {@link #toString()} wrote. */
+    @JsonCreator
+    public static TaskId of(String text) {
+        return parse(text).orElseThrow(() -> new IllegalArgumentException("not a task id: " + text));
+    }
+
+    @Override
+    @JsonValue
+    public String toString() {
+        return job + '.' + occurrence + '.' + step + '.' + index;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
@@ -0,0 +1,135 @@
+package io.pollenreach.internal.batch;
+
+/**
+ * How far one task is.
+ *
+ * <p>Invariant: a task that is placed names the worker and the run; run numbers only rise. Not safe for use by many
+ * threads: the scheduler's thread owns it.
+ */
+final class TaskProgress {
+    /** Where the task stands. Immutable. */
+    enum State {
+        WAITING,
+        PLACED,
+        DONE
+    }
+
+    private final TaskId id;
+    private State state = State.WAITING;
+    private int run;
+    private int failures;
+    private String worker = "";
+    private String checkpoint = "";
+    private String failedOn = "";
+    private long waitingSinceMs;
+    private long placedMs;
+    private long notBeforeMs;
+
+    TaskProgress(TaskId id, long nowMs) {
+        this.id = id;
+        waitingSinceMs = nowMs;
+    }
+
+    static TaskProgress from(ProgressRow.TaskRow row, TaskId id, long nowMs) {
+        TaskProgress task = new TaskProgress(id, nowMs);
+        task.state = row.state();
+        task.run = row.run();
+        task.failures = row.failures();
+        task.worker = row.worker();
+        task.checkpoint = row.checkpoint();
+        task.placedMs = nowMs;
+        return task;
+    }
+
+    ProgressRow.TaskRow toRow() {
+        return new ProgressRow.TaskRow(
+                id.occurrence(), id.step(), id.index(), state, run, failures, worker, checkpoint);
+    }
+
+    /** Tells whether the task differs from one that was never placed. */
+    boolean touched() {
+        return run > 0;
+    }
+
+    TaskId id() {
+        return id;
+    }
+
+    State state() {
+        return state;
+    }
+
+    int run() {
+        return run;
+    }
+
+    TaskRun taskRun() {
+        return new TaskRun(id, run);
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    String worker() {
+        return worker;
+    }
+
+    String checkpoint() {
+        return checkpoint;
+    }
+
+    /** Returns the worker on which the task failed last; empty for none. */
+    String failedOn() {
+        return failedOn;
+    }
+
+    long waitingSinceMs() {
+        return waitingSinceMs;
+    }
+
+    long placedMs() {
+        return placedMs;
+    }
+
+    long notBeforeMs() {
+        return notBeforeMs;
+    }
+
+    boolean at(String name, int number) {
+        return state == State.PLACED && run == number && worker.equals(name);
+    }
+
+    void place(String name, int number, long nowMs) {
+        state = State.PLACED;
+        worker = name;
+        run = number;
+        placedMs = nowMs;
+    }
+
+    void finish() {
+        state = State.DONE;
+        worker = "";
+    }
+
+    void await(long nowMs) {
+        state = State.WAITING;
+        worker = "";
+        waitingSinceMs = nowMs;
+    }
+
+    void postpone(long untilMs) {
+        notBeforeMs = untilMs;
+    }
+
+    void fail() {
+        failures++;
+        failedOn = worker;
+    }
+
+    void save(String saved) {
+        if (!saved.isEmpty()) {
+            checkpoint = saved;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskRun.java
@@ -0,0 +1,8 @@
+package io.pollenreach.internal.batch;
+
+/**
+ * One run of a task; runs are numbered from 1 and rise, and the members of a gang share the number.
+ *
+ * <p>Immutable.
+ */
+public record TaskRun(TaskId task, int run) {}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkOrders.java
@@ -0,0 +1,40 @@
+package io.pollenreach.internal.batch;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+
+/**
+ * Everything that one worker is to do, written by the scheduler alone.
+ *
+ * <p>A run stands in exactly one list until the worker's report shows that it is gone: so the two lists together are what
+ * may occupy the worker. Immutable.
+ *
+ * @param life the life of the worker that the orders are for
+ * @param runs runs to start and keep
+ * @param stops runs to end
+ * @param endsTaken the number of the newest end that the scheduler has recorded
+ */
+@JsonInclude(JsonInclude.Include.NON_DEFAULT)
+public record WorkOrders(String life, List<OrderedRun> runs, List<TaskRun> stops, long endsTaken) {
+    public WorkOrders {
+        runs = runs == null ? List.of() : List.copyOf(runs);
+        stops = stops == null ? List.of() : List.copyOf(stops);
+    }
+
+    /** Returns orders to do nothing. */
+    public static WorkOrders none(String life) {
+        return new WorkOrders(life, List.of(), List.of(), 0);
+    }
+
+    /**
+     * A run to start.
+     *
+     * <p>Immutable.
+     *
+     * @param run the run
+     * @param payload what it runs
+     * @param checkpoint the saved work to go on from; empty for none
+     */
+    public record OrderedRun(TaskRun run, String payload, String checkpoint) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
@@ -0,0 +1,204 @@
+package io.pollenreach.internal.batch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Stream;
+
+/**
+ * What the scheduler knows of one worker: its newest report and its orders.
+ *
+ * <p>Invariant: whatever may occupy the worker stands in its runs or stops, and {@link #free()} is its capacity less all
+ * of that. Not safe for use by many threads: the scheduler's thread owns it.
+ */
+final class WorkerBook {
+    private static final long UNCOMMITTED = Long.MAX_VALUE;
+
+    /** A run being ended. */
+    private static final class Stop {
+        private final Resources held;
+        private final long sinceMs;
+        private long inOrdersSince;
+
+        Stop(Resources held, long sinceMs, long inOrdersSince) {
+            this.held = held;
+            this.sinceMs = sinceMs;
+            this.inOrdersSince = inOrdersSince;
+        }
+    }
+
+    /** A run that the worker is to start and keep. Immutable. */
+    private record Held(WorkOrders.OrderedRun order, Resources held) {}
+
+    private final String name;
+    private final Map<TaskRun, Held> runs = new LinkedHashMap<>();
+    private final Map<TaskRun, Stop> stops = new LinkedHashMap<>();
+    private WorkerReport report;
+    private long reportVersion;
+    private long heardMs;
+    private long endsTaken;
+    private String ordersLife;
+    private final WorkerHealth health = new WorkerHealth();
+
+    WorkerBook(WorkerReport report, long reportVersion, long nowMs) {
+        name = report.agent();
+        this.report = report;
+        this.reportVersion = reportVersion;
+        heardMs = nowMs;
+        ordersLife = report.life();
+    }
+
+    String name() {
+        return name;
+    }
+
+    WorkerReport report() {
+        return report;
+    }
+
+    long reportVersion() {
+        return reportVersion;
+    }
+
+    long heardMs() {
+        return heardMs;
+    }
+
+    long endsTaken() {
+        return endsTaken;
+    }
+
+    WorkerHealth health() {
+        return health;
+    }
+
+    boolean sameLife(WorkerReport other) {
+        return ordersLife.equals(other.life());
+    }
+
+    void hear(WorkerReport next, long version, long nowMs) {
+        report = next;
+        reportVersion = version;
+        heardMs = nowMs;
+    }
+
+    /** Takes the orders that an earlier scheduler wrote; {@code needs} tells what a run occupies. */
+    void restore(WorkOrders orders, long version, Function<TaskId, Resources> needs, long nowMs) {
+        ordersLife = orders.life();
+        endsTaken = orders.endsTaken();
+        orders.runs()
+                .forEach(r -> runs.put(r.run(), new Held(r, needs.apply(r.run().task()))));
+        orders.stops().forEach(r -> stops.put(r, new Stop(needs.apply(r.task()), nowMs, version)));
+    }
+
+    /** Starts over with the orders of a new life of the worker. */
+    void startLife() {
+        runs.clear();
+        stops.clear();
+        endsTaken = 0;
+        ordersLife = report.life();
+        health.reset();
+    }
+
+    WorkOrders toOrders() {
+        return new WorkOrders(
+                ordersLife,
+                runs.values().stream().map(Held::order).toList(),
+                new ArrayList<>(stops.keySet()),
+                endsTaken);
+    }
+
+    Resources free() {
+        Resources used = Resources.NONE;
+        for (Held h : runs.values()) {
+            used = used.plus(h.held());
+        }
+        for (Stop s : stops.values()) {
+            used = used.plus(s.held);
+        }
+        return report.capacity().minus(used);
+    }
+
+    /** Returns what stops that are still fresh will free soon. */
+    Resources freeingSoon(long nowMs, long patienceMs) {
+        Resources sum = Resources.NONE;
+        for (Stop s : stops.values()) {
+            if (nowMs - s.sinceMs <= patienceMs) {
+                sum = sum.plus(s.held);
+            }
+        }
+        return sum;
+    }
+
+    List<TaskRun> runs() {
+        return new ArrayList<>(runs.keySet());
+    }
+
+    boolean holds(TaskId task) {
+        return runs.keySet().stream().anyMatch(r -> r.task().equals(task))
+                || stops.keySet().stream().anyMatch(r -> r.task().equals(task));
+    }
+
+    int countOfStep(TaskId of) {
+        return (int) Stream.concat(runs.keySet().stream(), stops.keySet().stream())
+                .map(TaskRun::task)
+                .filter(t -> t.job().equals(of.job()) && t.occurrence() == of.occurrence() && t.step() == of.step())
+                .count();
+    }
+
+    void order(WorkOrders.OrderedRun order, Resources held) {
+        runs.put(order.run(), new Held(order, held));
+    }
+
+    /** Moves a run to the stops; tells whether anything changed. */
+    boolean stop(TaskRun run, long nowMs) {
+        Held held = runs.remove(run);
+        if (held == null) {
+            return false;
+        }
+        stops.put(run, new Stop(held.held(), nowMs, UNCOMMITTED));
+        return true;
+    }
+
+    /** Notes a run that is at work though nothing orders it; tells whether anything changed. */
+    boolean stopStray(TaskRun run, Resources held, long nowMs) {
+        if (runs.containsKey(run) || stops.containsKey(run)) {
+            return false;
+        }
+        stops.put(run, new Stop(held, nowMs, UNCOMMITTED));
+        return true;
+    }
+
+    /** Forgets a run that is surely gone; tells whether anything changed. */
+    boolean remove(TaskRun run) {
+        boolean ordered = runs.remove(run) != null;
+        return stops.remove(run) != null || ordered;
+    }
+
+    /** Forgets stops that the report shows to be carried out; tells whether anything changed. */
+    boolean removeFinishedStops() {
+        List<TaskRun> active = report.active().stream().map(RunningTask::run).toList();
+        return stops.entrySet()
+                .removeIf(s -> report.ordersSeen() >= s.getValue().inOrdersSince && !active.contains(s.getKey()));
+    }
+
+    boolean takeEnd(long number) {
+        if (number <= endsTaken) {
+            return false;
+        }
+        endsTaken = number;
+        return true;
+    }
+
+    /** Notes the version under which the present orders were stored. */
+    void committed(long version) {
+        stops.values().stream().filter(s -> s.inOrdersSince == UNCOMMITTED).forEach(s -> s.inOrdersSince = version);
+    }
+
+    Optional<RunningTask> activeRun(TaskRun run) {
+        return report.active().stream().filter(a -> a.run().equals(run)).findFirst();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerHealth.java
@@ -0,0 +1,57 @@
+package io.pollenreach.internal.batch;
+
+/**
+ * Judges from the ends of runs whether a worker fails whatever it starts.
+ *
+ * <p>A worker on which several different tasks failed, with none done in between, is set aside for a while that doubles
+ * with each further failure. Not safe for use by many threads: the scheduler's thread owns it.
+ */
+final class WorkerHealth {
+    /** Failures in a row that set a worker aside: one may be the task's own fault. */
+    static final int FAILURES_TO_SET_ASIDE = 2;
+    /** The first time aside, in milliseconds: about as long as the platform's short faults last. */
+    static final long FIRST_ASIDE_MS = 3_000;
+
+    static final long MAX_ASIDE_MS = 12_000;
+
+    private int failures;
+    private String lastJob = "";
+    private long asideUntilMs;
+
+    void failed(TaskId task, long nowMs) {
+        // A job whose tasks fail one after the other says little about the worker.
+        if (task.job().equals(lastJob)) {
+            return;
+        }
+        lastJob = task.job();
+        failures++;
+        if (failures >= FAILURES_TO_SET_ASIDE) {
+            long asideMs = FIRST_ASIDE_MS << Math.min(failures - FAILURES_TO_SET_ASIDE, 4);
+            asideUntilMs = nowMs + Math.min(asideMs, MAX_ASIDE_MS);
+        }
+    }
+
+    /** Sets the worker aside at once, for a run that stood still on it. */
+    void stalled(long nowMs) {
+        failures = Math.max(failures + 1, FAILURES_TO_SET_ASIDE);
+        asideUntilMs = nowMs + FIRST_ASIDE_MS;
+    }
+
+    void succeeded() {
+        reset();
+    }
+
+    void reset() {
+        failures = 0;
+        lastJob = "";
+        asideUntilMs = 0;
+    }
+
+    boolean aside(long nowMs) {
+        return nowMs < asideUntilMs;
+    }
+
+    int failures() {
+        return failures;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
@@ -0,0 +1,138 @@
+package io.pollenreach.daemon.internal.http;
+
+import java.net.InetAddress;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import ratpack.exec.Promise;
+import ratpack.handling.Context;
+import ratpack.http.Request;
+import ratpack.http.Response;
+import ratpack.server.RatpackServer;
+
+/**
+ * A server whose calls one function answers.
+ *
+ * <p>Safe for use by many threads.
+ */
+public final class HttpListener implements AutoCloseable {
+    /** Answers calls; a failed future becomes the status of its result code. */
+    @FunctionalInterface
+    public interface Answerer {
+        /** Answers a call. */
+        CompletableFuture<HttpAnswer> answer(HttpCall call);
+    }
+
+    private static final Events EVENTS = Events.of(HttpListener.class);
+
+    private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean closing;
+    private RatpackServer server;
+
+    private HttpListener() {}
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where, as {@code ip:port}
+     * @param threads how many threads take calls
+     * @param maxBodyBytes the largest body that is read
+     * @param answerer answers the calls
+     * @return the listener; fails with {@code OUT_OF_RANGE} when the address cannot be used
+     */
+    public static HttpListener start(String address, int threads, int maxBodyBytes, Answerer answerer) {
+        HttpListener listener = new HttpListener();
+        try {
+            HostAndPort at = HostAndPort.fromString(address);
+            InetAddress ip = InetAddresses.forString(at.getHost());
+            listener.server = RatpackServer.start(spec -> spec.serverConfig(c -> c.address(ip)
+                            .port(at.getPort())
+                            .threads(threads)
+                            .registerShutdownHook(false)
+                            .development(false)
+                            .maxContentLength(maxBodyBytes))
+                    .handlers(chain -> chain.all(ctx -> listener.handle(ctx, answerer))));
+            return listener;
+        } catch (Exception e) {
+            String detail = "cannot listen on " + address + ": " + e.getMessage();
+            throw new PollenreachException(ResultCode.OUT_OF_RANGE, "address", detail, e);
+        }
+    }
+
+    private void handle(Context ctx, Answerer answerer) {
+        open.incrementAndGet();
+        ctx.onClose(o -> open.decrementAndGet());
+        Request request = ctx.getRequest();
+        request.getBody()
+                .map(body -> call(request, body.getBytes()))
+                .flatMap(call -> Promise.async(down -> down.accept(answer(answerer, call))))
+                .onError(t -> send(ctx, HttpAnswer.failure(PollenreachException.of(t))))
+                .then(answer -> send(ctx, (HttpAnswer) answer));
+    }
+
+    private static CompletableFuture<HttpAnswer> answer(Answerer answerer, HttpCall call) {
+        try {
+            return answerer.answer(call).exceptionally(t -> HttpAnswer.failure(PollenreachException.of(t)));
+        } catch (RuntimeException e) {
+            PollenreachException failure = PollenreachException.of(e);
+            if (failure.code() == ResultCode.INTERNAL) {
+                EVENTS.warn("call-failed", "method", call.method(), "path", call.path(), "error", String.valueOf(e));
+            }
+            return CompletableFuture.completedFuture(HttpAnswer.failure(failure));
+        }
+    }
+
+    private static HttpCall call(Request request, byte[] body) {
+        String host = Optional.ofNullable(request.getHeaders().get("Host")).orElse("");
+        return new HttpCall(
+                request.getMethod().getName(),
+                // The port that clients may add says nothing.
+                host.contains(":") ? host.substring(0, host.indexOf(':')) : host,
+                '/' + request.getPath(),
+                name -> Optional.ofNullable(request.getHeaders().get(name)),
+                body);
+    }
+
+    private void send(Context ctx, HttpAnswer answer) {
+        Response response = ctx.getResponse().status(answer.status());
+        answer.headers().forEach((k, v) -> response.getHeaders().set(k, v));
+        if (closing) {
+            response.getHeaders().set("Connection", "close");
+        }
+        if (answer.body().length == 0) {
+            response.send();
+        } else {
+            response.send("application/json", answer.body());
+        }
+    }
+
+    /** Asks callers, with each answer from now on, to use another connection. */
+    public void discourage() {
+        closing = true;
+    }
+
+    /** Returns how many calls are under way. */
+    public int open() {
+        return open.get();
+    }
+
+    /** Returns the port on which the server listens. */
+    public int port() {
+        return server.getBindPort();
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new PollenreachException(ResultCode.INTERNAL, null, "the HTTP server did not stop", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -0,0 +1,132 @@
+package io.pollenreach.daemon.internal.intake;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.StateStore;
+import io.pollenreach.daemon.internal.store.StoredRow;
+import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.daemon.internal.store.Transaction;
+import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.JobPhase;
+import io.pollenreach.internal.batch.ProgressRow;
+
+/**
+ * Takes jobs into the store, cancels them and tells where they stand.
+ *
+ * <p>Invariants: a job counts as accepted only once its row was confirmed or read back; {@code PLATFORM_UNAVAILABLE} is
+ * only said when no attempt of this call can have stored the job; a job that was submitted twice with one id is one job.
+ * Immutable, so safe for use by many threads.
+ */
+public final class JobIntake {
+    /** How long a call goes on trying while the store fails, in milliseconds; callers come back elsewhere. */
+    static final long PATIENCE_MS = 900;
+
+    private static final long RETRY_MS = 60;
+    private static final Events EVENTS = Events.of(JobIntake.class);
+
+    private final StateStore store;
+    private final Clock clock;
+
+    /** Creates an intake over a store. */
+    public JobIntake(StateStore store, Clock clock) {
+        this.store = store;
+        this.clock = clock;
+    }
+
+    /**
+     * Accepts a job.
+     *
+     * @return completes once the job is stored; fails with {@code PLATFORM_UNAVAILABLE} when surely nothing was stored,
+     *     and with {@code WRITE_UNKNOWN} when it may have been
+     */
+    public CompletableFuture<Void> submit(BatchJob job) {
+        Transaction tx =
+                new Transaction().expect(Tables.JOBS, job.id(), 0).write(Tables.JOBS, job.id(), RowCodec.toValue(job));
+        long startMs = clock.nowMs();
+        return write(tx, Tables.JOBS, job.id(), startMs, false)
+                .whenComplete((v, t) -> note("job-submitted", job.id(), startMs, t, "queue", job.queue()));
+    }
+
+    /**
+     * Cancels a job.
+     *
+     * @return whether the job is known; fails as {@link #submit} does
+     */
+    public CompletableFuture<Boolean> cancel(String id) {
+        long startMs = clock.nowMs();
+        Transaction tx = new Transaction()
+                .expect(Tables.CANCELS, id, 0)
+                .write(Tables.CANCELS, id, RowCodec.toValue(clock.wallMs()));
+        return read(startMs, () -> store.get(Tables.JOBS, id))
+                .thenCompose(row -> row.isEmpty()
+                        ? CompletableFuture.completedFuture(false)
+                        : write(tx, Tables.CANCELS, id, startMs, false).thenApply(v -> true))
+                .whenComplete((known, t) -> note("job-cancelled", id, startMs, t, "known", known));
+    }
+
+    /** Returns where a job stands; empty for a job that is not known. */
+    public CompletableFuture<Optional<JobPhase>> phase(String id) {
+        long startMs = clock.nowMs();
+        return read(startMs, () -> store.get(Tables.PROGRESS, id)).thenCompose(row -> {
+            if (row.isPresent()) {
+                ProgressRow progress = RowCodec.fromRow(row.get(), ProgressRow.class)
+                        .orElseThrow(() -> new PollenreachException(ResultCode.INTERNAL, "unreadable row " + id));
+                return CompletableFuture.completedFuture(Optional.of(progress.phase()));
+            }
+            return read(startMs, () -> store.get(Tables.JOBS, id)).thenApply(j -> j.map(r -> JobPhase.QUEUED));
+        });
+    }
+
+    private <T> CompletableFuture<T> read(long startMs, Supplier<CompletableFuture<T>> call) {
+        return call.get().exceptionallyCompose(t -> {
+            if (clock.nowMs() - startMs > PATIENCE_MS) {
+                return CompletableFuture.failedFuture(t);
+            }
+            return pause().thenCompose(v -> read(startMs, call));
+        });
+    }
+
+    /** Writes a row that must not exist yet; the row with this key can only be one that says the same. */
+    private CompletableFuture<Void> write(Transaction tx, String table, String key, long startMs, boolean doubt) {
+        return store.commit(tx).<Void>thenApply(v -> null).exceptionallyCompose(t -> {
+            PollenreachException e = PollenreachException.of(t);
+            if (e.code() == ResultCode.CONFLICT) {
+                return CompletableFuture.completedFuture(null);
+            }
+            boolean unsure = doubt || e.code() != ResultCode.PLATFORM_UNAVAILABLE;
+            if (clock.nowMs() - startMs > PATIENCE_MS) {
+                return unsure ? readBack(table, key) : CompletableFuture.failedFuture(e);
+            }
+            return pause().thenCompose(v -> write(tx, table, key, startMs, unsure));
+        });
+    }
+
+    private CompletableFuture<Void> readBack(String table, String key) {
+        return store.get(table, key).handle((Optional<StoredRow> row, Throwable t) -> {
+            if (t == null && row.isPresent()) {
+                return null;
+            }
+            throw new PollenreachException(
+                    ResultCode.WRITE_UNKNOWN, null, "the store did not confirm the write of " + key, t);
+        });
+    }
+
+    private static CompletableFuture<Void> pause() {
+        long ms = ThreadLocalRandom.current().nextLong(RETRY_MS / 2, RETRY_MS * 2);
+        return CompletableFuture.runAsync(() -> {}, CompletableFuture.delayedExecutor(ms, TimeUnit.MILLISECONDS));
+    }
+
+    private void note(String event, String id, long startMs, Throwable t, String key, Object value) {
+        ResultCode code = t == null ? ResultCode.OK : PollenreachException.of(t).code();
+        EVENTS.info(event, "job", id, key, value, "code", code.number(), "ms", clock.nowMs() - startMs);
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/log/LogSetup.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/log/LogSetup.java
@@ -1,12 +1,11 @@
 package io.pollenreach.daemon.internal.log;
 
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * Directs the logs of a process to standard error, one line for each event.
+ * Directs the logs of a process to standard output, one line for each event.
  *
  * <p>Third-party libraries are limited to warnings. Called once, before the first event.
  */
@@ -27,11 +26,18 @@
         install(Level.OFF, Level.OFF);
     }
 
+    /** Waits a little until what was logged is written; for the end of a process. */
+    public static void flush() {
+        for (Handler handler : ROOT.getHandlers()) {
+            handler.flush();
+        }
+    }
+
     private static void install(Level ours, Level thirdParty) {
         for (Handler old : ROOT.getHandlers()) {
             ROOT.removeHandler(old);
         }
-        Handler handler = new ConsoleHandler();
+        Handler handler = new BoundedHandler(System.out);
         handler.setLevel(Level.ALL);
         handler.setFormatter(new LineFormatter());
         ROOT.addHandler(handler);
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/OfficeWatch.java
@@ -0,0 +1,93 @@
+package io.pollenreach.daemon.internal.scheduler;
+
+import java.util.Map;
+
+import io.pollenreach.Clock;
+import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.Rows;
+import io.pollenreach.daemon.internal.store.StateStore;
+import io.pollenreach.daemon.internal.store.StoredRow;
+import io.pollenreach.daemon.internal.store.TableWatch;
+import io.pollenreach.daemon.internal.store.Tables;
+
+/**
+ * Follows who schedules and what that entry publishes.
+ *
+ * <p>What it believes saves time only: the store's version of the term decides. Safe for use by many threads.
+ */
+public final class OfficeWatch implements TableWatch.Listener, AutoCloseable {
+    /** How long one call waits, in milliseconds: about two beats, so that most calls return with one. */
+    private static final long WAIT_MS = 2_000;
+
+    private final Clock clock;
+    private final TableWatch watch;
+    private volatile String holder = "";
+    private volatile long termVersion;
+    private volatile long changedMs;
+    private volatile boolean known;
+    private volatile Map<String, Integer> waitingByQueue = Map.of();
+
+    /** Creates a watch that does nothing yet. */
+    public OfficeWatch(StateStore store, Clock clock) {
+        this.clock = clock;
+        watch = new TableWatch(store, Tables.OFFICE, WAIT_MS, clock, this);
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        watch.start();
+    }
+
+    @Override
+    public void snapshot(Rows rows) {
+        rows.rows().forEach(this::take);
+        changedMs = clock.nowMs();
+        known = true;
+    }
+
+    @Override
+    public void changes(Rows rows) {
+        rows.rows().forEach(this::take);
+    }
+
+    private void take(StoredRow row) {
+        changedMs = clock.nowMs();
+        if (row.key().equals(Tables.TERM)) {
+            termVersion = Math.max(termVersion, row.version());
+            holder = RowCodec.fromRow(row, OfficeRows.Term.class)
+                    .map(OfficeRows.Term::holder)
+                    .orElse("");
+        } else if (row.key().equals(Tables.BEAT)) {
+            RowCodec.fromRow(row, OfficeRows.Beat.class).ifPresent(b -> waitingByQueue = b.waitingByQueue());
+        }
+    }
+
+    /** Returns how many accepted jobs of a queue have not started, as last published. */
+    public int waiting(String queue) {
+        return waitingByQueue.getOrDefault(queue, 0);
+    }
+
+    /** Tells whether the watch hears the store. */
+    public boolean healthy() {
+        return known && watch.healthyFor(0);
+    }
+
+    /** Tells whether the office seems to be vacant: resigned from, or silent for a time while the store was heard. */
+    boolean vacant(long silenceMs) {
+        boolean silent = clock.nowMs() - changedMs > silenceMs;
+        return known && (holder.isEmpty() || silent && watch.healthyFor(silenceMs));
+    }
+
+    String holder() {
+        return holder;
+    }
+
+    long termVersion() {
+        return termVersion;
+    }
+
+    @Override
+    public void close() {
+        watch.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -0,0 +1,163 @@
+package io.pollenreach.daemon.internal.scheduler;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.StateStore;
+import io.pollenreach.daemon.internal.store.StoredRow;
+import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.daemon.internal.store.Transaction;
+
+/**
+ * Stands for the office of the scheduler, and schedules while it holds it.
+ *
+ * <p>Invariant: every write of a scheduler depends on the version of the term under which it took office, so that one
+ * that was replaced, or whose earlier write is still on its way, changes nothing any more. When it cannot tell whether a
+ * write took effect it takes office anew and reads everything again. Safe for use by many threads; one thread does all
+ * the work.
+ */
+public final class Scheduler implements AutoCloseable {
+    /** How often the holder shows that it works, in milliseconds. */
+    static final long BEAT_MS = 1_000;
+
+    /** Silence after which another entry stands, in milliseconds: two beats missed, and half a second for the store. */
+    static final long VACANT_AFTER_MS = 2_500;
+
+    private static final long CANDIDATE_PAUSE_MS = 50;
+    private static final long JITTER_MS = 150;
+    private static final long STOP_WAIT_MS = 1_500;
+    private static final Events EVENTS = Events.of(Scheduler.class);
+
+    private final String self;
+    private final StateStore store;
+    private final OfficeWatch office;
+    private final Supplier<Map<String, Integer>> guarantees;
+    private final Clock clock;
+    private final long leaseMs;
+    private final Thread thread = new Thread(this::run, "scheduler");
+    private volatile boolean closed;
+    private volatile Term term;
+    private boolean doubt;
+
+    /**
+     * Creates a scheduler that does nothing yet.
+     *
+     * @param self the name of this entry; unique
+     * @param store the store
+     * @param office who schedules, followed by the caller
+     * @param guarantees the accelerators that each workspace is guaranteed, as now in force
+     * @param clock tells the time
+     * @param leaseMs how long a worker keeps its runs after its agent's last report, in milliseconds
+     */
+    public Scheduler(
+            String self,
+            StateStore store,
+            OfficeWatch office,
+            Supplier<Map<String, Integer>> guarantees,
+            Clock clock,
+            long leaseMs) {
+        this.self = self;
+        this.store = store;
+        this.office = office;
+        this.guarantees = guarantees;
+        this.clock = clock;
+        this.leaseMs = leaseMs;
+        thread.setDaemon(true);
+    }
+
+    /** Starts to stand for the office. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Tells whether this entry schedules. */
+    public boolean inOffice() {
+        return term != null;
+    }
+
+    private void run() {
+        while (!closed) {
+            try {
+                if (doubt || office.vacant(VACANT_AFTER_MS)) {
+                    stand();
+                } else {
+                    Thread.sleep(CANDIDATE_PAUSE_MS);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException e) {
+                term = null;
+                PollenreachException failure = PollenreachException.of(e);
+                EVENTS.warn(
+                        "scheduler-out-of-office",
+                        "entry",
+                        self,
+                        "code",
+                        failure.code().number(),
+                        "error",
+                        failure.getMessage());
+                doubt = failure.code() == ResultCode.WRITE_UNKNOWN && !closed;
+                if (failure.code() == ResultCode.INTERNAL) {
+                    EVENTS.warn("scheduler-failed", "error", String.valueOf(e.getCause()), "at", e.getStackTrace()[0]);
+                }
+            }
+        }
+    }
+
+    private void stand() throws InterruptedException {
+        if (!doubt) {
+            Thread.sleep(ThreadLocalRandom.current().nextLong(JITTER_MS));
+        }
+        Optional<StoredRow> row = store.get(Tables.OFFICE, Tables.TERM).join();
+        long version = row.map(StoredRow::version).orElse(0L);
+        String holder = row.flatMap(r -> RowCodec.fromRow(r, OfficeRows.Term.class))
+                .map(OfficeRows.Term::holder)
+                .orElse("");
+        boolean mine = holder.equals(self);
+        boolean stillVacant = holder.isEmpty() || mine || version <= office.termVersion();
+        if (!stillVacant || doubt && !mine && !holder.isEmpty()) {
+            doubt = false;
+            return;
+        }
+        Transaction tx = new Transaction()
+                .expect(Tables.OFFICE, Tables.TERM, version)
+                .write(Tables.OFFICE, Tables.TERM, RowCodec.toValue(new OfficeRows.Term(self)));
+        long taken = store.commit(tx).join();
+        doubt = false;
+        EVENTS.info("scheduler-in-office", "entry", self, "term", taken, "before", holder);
+        Term t = new Term(self, taken, store, guarantees, clock, leaseMs);
+        term = t;
+        try {
+            t.load();
+            while (!closed) {
+                t.step();
+            }
+            t.resign();
+        } finally {
+            term = null;
+            t.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        Term t = term;
+        if (t != null) {
+            t.wake();
+        }
+        try {
+            thread.join(STOP_WAIT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -0,0 +1,330 @@
+package io.pollenreach.daemon.internal.scheduler;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.Rows;
+import io.pollenreach.daemon.internal.store.StateStore;
+import io.pollenreach.daemon.internal.store.StoredRow;
+import io.pollenreach.daemon.internal.store.TableWatch;
+import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.daemon.internal.store.Transaction;
+import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.ClusterBook;
+import io.pollenreach.internal.batch.ProgressRow;
+import io.pollenreach.internal.batch.WorkOrders;
+import io.pollenreach.internal.batch.WorkerReport;
+
+/**
+ * One term in office: reads everything, then decides on each change and stores what it decided.
+ *
+ * <p>Only the scheduler's thread calls it, but for {@link #wake()}; watches hand their rows over through a queue.
+ */
+final class Term implements AutoCloseable {
+    /** The worker's clock may run this much slow; stated by the platform. */
+    private static final double CLOCK_DRIFT = 1.02;
+
+    /** Added to the lease before a silent worker counts as lost, in milliseconds, for the delay of a late timer. */
+    private static final long LOST_SLACK_MS = 200;
+
+    /** Workers have this long to report again after the store was away, in milliseconds; asked for by the users. */
+    private static final long RETURN_MS = 2_000;
+
+    /** Longest pause between two passes, in milliseconds. */
+    private static final long TICK_MS = 200;
+
+    private static final long RETRY_MS = 100;
+    private static final long WATCH_WAIT_MS = 5_000;
+
+    /** How long ended jobs can still be asked for, in milliseconds; the platform asks for two minutes. */
+    private static final long KEEP_ENDED_MS = 180_000;
+
+    private static final long EXPIRE_EVERY_MS = 10_000;
+    private static final Events EVENTS = Events.of(Term.class);
+
+    private final String self;
+    private final long version;
+    private final StateStore store;
+    private final Supplier<Map<String, Integer>> guarantees;
+    private final Clock clock;
+    private final long lostAfterMs;
+    private final ClusterBook book = new ClusterBook(EVENTS::info);
+    private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+    private final List<TableWatch> watches = new ArrayList<>();
+    private TableWatch workersWatch;
+    private long beats;
+    private long beatenMs;
+    private long expiredMs;
+
+    Term(
+            String self,
+            long version,
+            StateStore store,
+            Supplier<Map<String, Integer>> guarantees,
+            Clock clock,
+            long leaseMs) {
+        this.self = self;
+        this.version = version;
+        this.store = store;
+        this.guarantees = guarantees;
+        this.clock = clock;
+        lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_SLACK_MS;
+        expiredMs = clock.nowMs();
+    }
+
+    /** Reads the whole state and starts to follow its changes. */
+    void load() {
+        long startMs = clock.nowMs();
+        CompletableFuture<Rows> cancels = store.list(Tables.CANCELS);
+        CompletableFuture<Rows> jobs = store.list(Tables.JOBS);
+        CompletableFuture<Rows> progress = store.list(Tables.PROGRESS);
+        CompletableFuture<Rows> workers = store.list(Tables.WORKERS);
+        List<CompletableFuture<Rows>> orders = new ArrayList<>();
+        for (int i = 0; i < Tables.ORDER_TABLES; i++) {
+            orders.add(store.list(Tables.orders(i)));
+        }
+        long nowMs = clock.nowMs();
+        cancels.join().rows().forEach(r -> book.cancel(r.key(), nowMs));
+        loadJobs(jobs.join(), progress.join(), nowMs);
+        Map<String, StoredRow> ordersByAgent = new HashMap<>();
+        orders.forEach(o -> o.join().rows().forEach(r -> ordersByAgent.put(r.key(), r)));
+        workers.join().rows().forEach(r -> loadWorker(r, ordersByAgent, nowMs));
+        book.restored(nowMs);
+        follow(Tables.JOBS, jobs.join().version(), this::acceptJob);
+        follow(Tables.CANCELS, cancels.join().version(), r -> book.cancel(r.key(), clock.nowMs()));
+        workersWatch = follow(Tables.WORKERS, workers.join().version(), this::hear);
+        EVENTS.info(
+                "term-loaded",
+                "term",
+                version,
+                "jobs",
+                jobs.join().rows().size(),
+                "workers",
+                workers.join().rows().size(),
+                "ms",
+                clock.nowMs() - startMs);
+    }
+
+    private void loadJobs(Rows jobs, Rows progress, long nowMs) {
+        Map<String, ProgressRow> progressById = new HashMap<>();
+        progress.rows()
+                .forEach(r -> RowCodec.fromRow(r, ProgressRow.class).ifPresent(p -> progressById.put(r.key(), p)));
+        for (StoredRow row : jobs.rows()) {
+            RowCodec.fromRow(row, BatchJob.class).ifPresent(job -> {
+                ProgressRow p = progressById.get(job.id());
+                if (p == null) {
+                    book.accept(job, row.version(), nowMs);
+                } else {
+                    book.restore(job, row.version(), p, nowMs);
+                }
+            });
+        }
+    }
+
+    private void loadWorker(StoredRow row, Map<String, StoredRow> ordersByAgent, long nowMs) {
+        RowCodec.fromRow(row, WorkerReport.class).ifPresent(report -> {
+            StoredRow orders = ordersByAgent.get(report.agent());
+            WorkOrders known = orders == null
+                    ? WorkOrders.none(report.life())
+                    : RowCodec.fromRow(orders, WorkOrders.class).orElse(WorkOrders.none(report.life()));
+            book.restore(report, row.version(), known, orders == null ? 0 : orders.version(), nowMs);
+        });
+    }
+
+    private interface RowTaker {
+        void take(StoredRow row);
+    }
+
+    private TableWatch follow(String table, long after, RowTaker taker) {
+        TableWatch.Listener listener = new TableWatch.Listener() {
+            @Override
+            public void snapshot(Rows rows) {
+                changes(rows);
+            }
+
+            @Override
+            public void changes(Rows rows) {
+                if (!rows.rows().isEmpty()) {
+                    inbox.add(
+                            () -> rows.rows().stream().filter(r -> !r.removed()).forEach(taker::take));
+                }
+            }
+        };
+        TableWatch watch = new TableWatch(store, table, WATCH_WAIT_MS, clock, listener);
+        watches.add(watch);
+        watch.startAfter(after);
+        return watch;
+    }
+
+    private void acceptJob(StoredRow row) {
+        RowCodec.fromRow(row, BatchJob.class).ifPresent(j -> book.accept(j, row.version(), clock.nowMs()));
+    }
+
+    private void hear(StoredRow row) {
+        RowCodec.fromRow(row, WorkerReport.class).ifPresent(r -> book.report(r, row.version(), clock.nowMs()));
+    }
+
+    /** Waits for news or the next tick, then decides and stores. */
+    void step() throws InterruptedException {
+        Runnable first = inbox.poll(TICK_MS, TimeUnit.MILLISECONDS);
+        if (first != null) {
+            first.run();
+            for (Runnable next = inbox.poll(); next != null; next = inbox.poll()) {
+                next.run();
+            }
+        }
+        long nowMs = clock.nowMs();
+        loseSilentWorkers(nowMs);
+        book.setGuarantees(guarantees.get());
+        book.plan(nowMs, clock.wallMs());
+        storeChanges(nowMs);
+        expire(nowMs);
+    }
+
+    private void loseSilentWorkers(long nowMs) throws InterruptedException {
+        if (!workersWatch.healthyFor(RETURN_MS)) {
+            return;
+        }
+        for (WorkerReport report : book.silentFor(lostAfterMs, nowMs)) {
+            WorkerReport lost = report.asLost();
+            long reportVersion = book.reportVersion(report.agent());
+            Transaction tx = guarded()
+                    .expect(Tables.WORKERS, report.agent(), reportVersion)
+                    .write(Tables.WORKERS, report.agent(), RowCodec.toValue(lost));
+            try {
+                long at = store.commit(tx).join();
+                EVENTS.warn(
+                        "worker-declared-lost",
+                        "worker",
+                        report.agent(),
+                        "life",
+                        report.life(),
+                        "report",
+                        reportVersion);
+                book.report(lost, at, nowMs);
+            } catch (RuntimeException e) {
+                PollenreachException failure = PollenreachException.of(e);
+                if (failure.code() == ResultCode.CONFLICT) {
+                    checkTerm();
+                    EVENTS.info("worker-reported-meanwhile", "worker", report.agent(), "report", reportVersion);
+                } else {
+                    rethrowUnlessUnavailable(failure);
+                    return;
+                }
+            }
+        }
+    }
+
+    private Transaction guarded() {
+        return new Transaction().expect(Tables.OFFICE, Tables.TERM, version);
+    }
+
+    /** Fails unless this term is still the one in the store. */
+    private void checkTerm() {
+        long now = store.get(Tables.OFFICE, Tables.TERM)
+                .join()
+                .map(StoredRow::version)
+                .orElse(0L);
+        if (now != version) {
+            throw new PollenreachException(ResultCode.CONFLICT, "term " + now + " has replaced term " + version);
+        }
+    }
+
+    private void storeChanges(long nowMs) throws InterruptedException {
+        ClusterBook.Changes changes = book.changes();
+        if (changes.isEmpty() && nowMs - beatenMs < Scheduler.BEAT_MS) {
+            return;
+        }
+        try {
+            long last = version;
+            for (Transaction tx : transactions(changes)) {
+                last = store.commit(tx).join();
+            }
+            beatenMs = nowMs;
+            book.committed(last);
+        } catch (RuntimeException e) {
+            rethrowUnlessUnavailable(PollenreachException.of(e));
+        }
+    }
+
+    // Progress goes before orders: a run that was ordered is then always known to be placed.
+    private List<Transaction> transactions(ClusterBook.Changes changes) {
+        List<Transaction> all = new ArrayList<>();
+        Transaction tx = guarded();
+        OfficeRows.Beat beat = new OfficeRows.Beat(self, ++beats, book.waitingByQueue());
+        tx.write(Tables.OFFICE, Tables.BEAT, RowCodec.toValue(beat));
+        for (Map.Entry<String, ProgressRow> j : changes.jobs().entrySet()) {
+            tx = roomIn(tx, all);
+            tx.write(Tables.PROGRESS, j.getKey(), RowCodec.toValue(j.getValue()));
+        }
+        for (Map.Entry<String, WorkOrders> w : changes.workers().entrySet()) {
+            tx = roomIn(tx, all);
+            tx.write(Tables.ordersOf(w.getKey()), w.getKey(), RowCodec.toValue(w.getValue()));
+        }
+        all.add(tx);
+        return all;
+    }
+
+    private Transaction roomIn(Transaction tx, List<Transaction> full) {
+        if (tx.size() < StateStore.MAX_ENTRIES && tx.bytes() < StateStore.MAX_BYTES) {
+            return tx;
+        }
+        full.add(tx);
+        return guarded();
+    }
+
+    private void rethrowUnlessUnavailable(PollenreachException e) throws InterruptedException {
+        if (e.code() != ResultCode.PLATFORM_UNAVAILABLE) {
+            throw e;
+        }
+        // Nothing was written, and nobody acts on what is not stored: the same changes go out again.
+        Thread.sleep(RETRY_MS);
+    }
+
+    private void expire(long nowMs) throws InterruptedException {
+        if (nowMs - expiredMs < EXPIRE_EVERY_MS) {
+            return;
+        }
+        expiredMs = nowMs;
+        List<String> old = book.expire(KEEP_ENDED_MS, nowMs);
+        for (String id : old) {
+            Transaction tx = guarded()
+                    .remove(Tables.JOBS, id)
+                    .remove(Tables.PROGRESS, id)
+                    .remove(Tables.CANCELS, id);
+            try {
+                store.commit(tx).join();
+            } catch (RuntimeException e) {
+                rethrowUnlessUnavailable(PollenreachException.of(e));
+            }
+        }
+    }
+
+    /** Gives up the office so that another entry need not wait. */
+    void resign() {
+        Transaction tx = guarded().write(Tables.OFFICE, Tables.TERM, RowCodec.toValue(new OfficeRows.Term("")));
+        store.commit(tx).join();
+        EVENTS.info("scheduler-resigned", "entry", self, "term", version);
+    }
+
+    void wake() {
+        inbox.add(() -> {});
+    }
+
+    @Override
+    public void close() {
+        watches.forEach(TableWatch::close);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
@@ -0,0 +1,244 @@
+package io.pollenreach.daemon.internal.work;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import io.pollenreach.internal.batch.EndKind;
+import io.pollenreach.internal.batch.RunEnd;
+import io.pollenreach.internal.batch.RunningTask;
+import io.pollenreach.internal.batch.TaskRun;
+import io.pollenreach.internal.batch.WorkOrders;
+
+/**
+ * The runs of one life of a worker: what is ordered, what the worker says, and what follows.
+ *
+ * <p>Invariants: a run counts as active from its order until its end was listed, it was refused for good, or a look that
+ * was sent after a confirmed stop no longer shows it; an end is reported until the scheduler has taken it. Not safe for
+ * use by many threads: the agent's thread owns it.
+ */
+final class LocalRuns {
+    /** Where an ordered run stands. Immutable. */
+    private enum Status {
+        NEW,
+        STARTING,
+        RUNNING
+    }
+
+    private static final class Run {
+        private final WorkOrders.OrderedRun order;
+        private Status status = Status.NEW;
+        private long retryMs;
+        private int missedLooks;
+
+        Run(WorkOrders.OrderedRun order) {
+            this.order = order;
+        }
+    }
+
+    private static final class Stopping {
+        private boolean sending;
+        private boolean confirmed;
+        private long confirmedMs;
+        private long retryMs;
+    }
+
+    /** Looks without a run, after its start was confirmed, that show it to be gone. */
+    private static final int LOOKS_TO_MISS = 2;
+
+    private final Map<TaskRun, Run> ordered = new LinkedHashMap<>();
+    private final Map<TaskRun, Stopping> stopping = new LinkedHashMap<>();
+    private final Map<Long, RunEnd> ends = new TreeMap<>();
+    private final Map<TaskRun, RunEnd> refusals = new LinkedHashMap<>();
+    private final Set<TaskRun> over = new LinkedHashSet<>();
+    private final Map<TaskRun, RunningTask> running = new HashMap<>();
+    private long newestEnd;
+
+    /** Takes over ends that an earlier process of the agent reported. */
+    void restoreEnds(List<RunEnd> reported) {
+        for (RunEnd e : reported) {
+            if (e.number() > 0) {
+                ends.put(e.number(), e);
+                over.add(e.run());
+                newestEnd = Math.max(newestEnd, e.number());
+            }
+        }
+    }
+
+    /** Takes orders; tells whether there is something new to do or report. */
+    boolean take(WorkOrders orders) {
+        boolean changed = ends.keySet().removeIf(n -> n <= orders.endsTaken());
+        Set<TaskRun> wanted = new LinkedHashSet<>();
+        for (WorkOrders.OrderedRun r : orders.runs()) {
+            wanted.add(r.run());
+            if (!over.contains(r.run()) && !ordered.containsKey(r.run())) {
+                ordered.put(r.run(), new Run(r));
+                changed = true;
+            }
+        }
+        for (TaskRun run : List.copyOf(ordered.keySet())) {
+            if (!wanted.contains(run)) {
+                ordered.remove(run);
+                changed |= addStop(run);
+            }
+        }
+        for (TaskRun run : orders.stops()) {
+            if (!over.contains(run)) {
+                changed |= addStop(run);
+            }
+        }
+        refusals.keySet().removeIf(r -> !wanted.contains(r));
+        over.removeIf(r -> !wanted.contains(r) && !orders.stops().contains(r) && !reported(r));
+        return changed;
+    }
+
+    private boolean reported(TaskRun run) {
+        return ends.values().stream().anyMatch(e -> e.run().equals(run));
+    }
+
+    private boolean addStop(TaskRun run) {
+        return stopping.putIfAbsent(run, new Stopping()) == null;
+    }
+
+    /** Takes what the worker says; tells whether there is something to report at once. */
+    boolean take(TaskRunner.RunnerView view, long sentMs) {
+        boolean changed = false;
+        for (RunEnd e : view.ends()) {
+            newestEnd = Math.max(newestEnd, e.number());
+            if (ends.putIfAbsent(e.number(), e) == null) {
+                changed = true;
+            }
+            over.add(e.run());
+            ordered.remove(e.run());
+            stopping.remove(e.run());
+        }
+        running.clear();
+        view.running().forEach(r -> running.put(r.run(), r));
+        for (TaskRun r : running.keySet()) {
+            // Nobody else may give this worker orders, so what is not ordered is left over.
+            if (!ordered.containsKey(r) && !over.contains(r)) {
+                changed |= addStop(r);
+            }
+        }
+        changed |= stopping.entrySet()
+                .removeIf(s -> s.getValue().confirmed
+                        && sentMs > s.getValue().confirmedMs
+                        && !running.containsKey(s.getKey()));
+        for (Map.Entry<TaskRun, Run> r : List.copyOf(ordered.entrySet())) {
+            changed |= missing(r.getKey(), r.getValue());
+        }
+        return changed;
+    }
+
+    private boolean missing(TaskRun id, Run run) {
+        if (run.status != Status.RUNNING || running.containsKey(id)) {
+            run.missedLooks = 0;
+            return false;
+        }
+        run.missedLooks++;
+        if (run.missedLooks < LOOKS_TO_MISS) {
+            return false;
+        }
+        refuse(id);
+        return true;
+    }
+
+    /** Returns the runs that an order to start should be sent for now. */
+    List<WorkOrders.OrderedRun> toStart(long nowMs) {
+        List<WorkOrders.OrderedRun> due = new ArrayList<>();
+        for (Run r : ordered.values()) {
+            if (r.status == Status.NEW && r.retryMs <= nowMs) {
+                r.status = Status.STARTING;
+                due.add(r.order);
+            }
+        }
+        return due;
+    }
+
+    /** Returns the runs that an order to stop should be sent for now. */
+    List<TaskRun> toStop(long nowMs) {
+        List<TaskRun> due = new ArrayList<>();
+        stopping.forEach((run, s) -> {
+            if (!s.confirmed && !s.sending && s.retryMs <= nowMs) {
+                s.sending = true;
+                due.add(run);
+            }
+        });
+        return due;
+    }
+
+    void started(TaskRun run) {
+        Run r = ordered.get(run);
+        if (r != null) {
+            r.status = Status.RUNNING;
+            r.missedLooks = 0;
+        }
+    }
+
+    void startFailed(TaskRun run, long retryMs) {
+        Run r = ordered.get(run);
+        if (r != null) {
+            r.status = Status.NEW;
+            r.retryMs = retryMs;
+        }
+    }
+
+    /** Notes that a run surely does not run and never will. */
+    void refuse(TaskRun run) {
+        if (ordered.remove(run) != null) {
+            refusals.put(run, new RunEnd(0, run, EndKind.REFUSED, ""));
+            over.add(run);
+        }
+    }
+
+    void stopped(TaskRun run, long nowMs) {
+        Stopping s = stopping.get(run);
+        if (s != null) {
+            s.confirmed = true;
+            s.confirmedMs = nowMs;
+        }
+    }
+
+    void stopFailed(TaskRun run, long retryMs) {
+        Stopping s = stopping.get(run);
+        if (s != null) {
+            s.sending = false;
+            s.retryMs = retryMs;
+        }
+    }
+
+    /** Returns everything that may be at work, or come to be. */
+    List<RunningTask> active() {
+        Set<TaskRun> all = new LinkedHashSet<>(ordered.keySet());
+        all.addAll(stopping.keySet());
+        return all.stream()
+                .map(r -> running.getOrDefault(r, new RunningTask(r, "", RunningTask.UNCONFIRMED)))
+                .toList();
+    }
+
+    /** Returns the ends that the scheduler has not taken. */
+    List<RunEnd> ends() {
+        List<RunEnd> all = new ArrayList<>(ends.values());
+        all.addAll(refusals.values());
+        return all;
+    }
+
+    long newestEnd() {
+        return newestEnd;
+    }
+
+    boolean idle() {
+        return ordered.isEmpty() && stopping.isEmpty();
+    }
+
+    /** Tells whether an order waits to be sent, or sent again. */
+    boolean waitsToSend() {
+        return ordered.values().stream().anyMatch(r -> r.status == Status.NEW)
+                || stopping.values().stream().anyMatch(s -> !s.confirmed && !s.sending);
+    }
+}
