Count ends that were stored before a worker restarted

Ruled out: a late order (run 3 was placed anew by three schedulers in turn). Change: a claim carries former ends until the scheduler's orders name the new life; a standing entry checks after its pause that the term is still the one it saw vacant, and one that restarts stands at once. Test: ClusterBookTest.countsAnEndThatWasStoredBeforeTheWorkerRestarted.

--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -130,9 +130,10 @@
         }
         w.report().active().forEach(this::save);
         w.hear(report, version, nowMs);
-        if (report.lost() || !w.sameLife(report)) {
-            loseRuns(w, report.lost() ? "worker-lost" : "worker-restarted", nowMs);
-            return;
+        // Ends that an agent stored before its worker was lost or restarted are acknowledged, so they count.
+        if (!w.sameLife(report)) {
+            takeFormer(w, report.formerEnds(), nowMs);
+            loseRuns(w, "worker-restarted", nowMs);
         }
         report.active().forEach(this::save);
         for (RunEnd end : report.ends()) {
@@ -140,6 +141,10 @@
                 take(w, end, nowMs);
             }
         }
+        if (report.lost()) {
+            loseRuns(w, "worker-lost", nowMs);
+            return;
+        }
         for (RunningTask a : report.active()) {
             if (w.stopStray(a.run(), occupied(a.run().task()), nowMs)) {
                 log.note(
@@ -158,6 +163,10 @@
         }
     }
 
+    private void takeFormer(WorkerBook w, List<RunEnd> ends, long nowMs) {
+        ends.forEach(e -> take(w, e, nowMs));
+    }
+
     private void save(RunningTask a) {
         JobProgress job = jobs.get(a.run().task().job());
         if (job == null || a.checkpoint().isEmpty()) {
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -23,6 +23,7 @@
  * @param ordersSeen the version of the newest orders that the agent has taken up
  * @param active runs that are or may still come to be at work
  * @param ends ends that the scheduler has not confirmed, by rising number
+ * @param formerEnds ends of earlier lives that the scheduler had not confirmed when this life began
  * @param lost set by the scheduler: every run of this life is taken to be gone
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
@@ -41,11 +42,13 @@
         long ordersSeen,
         List<RunningTask> active,
         List<RunEnd> ends,
+        List<RunEnd> formerEnds,
         boolean lost) {
     public WorkerReport {
         labels = labels == null ? List.of() : List.copyOf(labels);
         active = active == null ? List.of() : List.copyOf(active);
         ends = ends == null ? List.of() : List.copyOf(ends);
+        formerEnds = formerEnds == null ? List.of() : List.copyOf(formerEnds);
         capacity = capacity == null ? Resources.NONE : capacity;
         rack = rack == null ? "" : rack;
         zone = zone == null ? "" : zone;
@@ -68,6 +71,7 @@
                 ordersSeen,
                 active,
                 ends,
+                formerEnds,
                 true);
     }
 
--- /dev/null
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -0,0 +1,211 @@
+package io.pollenreach.internal.batch;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ClusterBookTest {
+    private final SampleBook sample = new SampleBook();
+
+    @Test
+    void placesATaskThatFits() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+
+        assertThat(sample.orders("w1").runs()).hasSize(1);
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+    }
+
+    @Test
+    void neverOrdersMoreThanTheWorkerHolds() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(20, 1)));
+
+        assertThat(sample.orders("w1").runs()).hasSize(8);
+    }
+
+    @Test
+    void completesAJobOnceAllItsTasksAreDone() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(2, 1)));
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.DONE);
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+        sample.end("w1", 2, "a.0.0.1", 1, EndKind.DONE);
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void startsAStepOnlyAfterItsPredecessors() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(1, 1)).step(Jobs.after(Jobs.step(1, 1), 0)));
+        assertThat(sample.orders("w1").runs()).hasSize(1);
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.DONE);
+
+        assertThat(sample.orders("w1").runs())
+                .extracting(r -> r.run().task().toString())
+                .containsExactly("a.0.1.0");
+    }
+
+    @Test
+    void keepsTheRoomOfAStoppedRunUntilTheWorkerShowsItToBeGone() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(1, 8)));
+        sample.cancel("a");
+        sample.submit(Jobs.job("b").step(Jobs.step(1, 8)));
+        assertThat(sample.orders("w1").runs()).isEmpty();
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.STOPPED);
+
+        assertThat(sample.orders("w1").runs())
+                .extracting(r -> r.run().task().job())
+                .containsExactly("b");
+    }
+
+    @Test
+    void numbersRunsUpwards() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.LAPSED);
+
+        assertThat(sample.orders("w1").runs()).extracting(r -> r.run().run()).containsExactly(2);
+    }
+
+    @Test
+    void failsAJobWhoseTaskFailedAsOftenAsItMay() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").attempts(2).step(Jobs.step(1, 1)));
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.FAILED);
+        sample.end("w1", 2, "a.0.0.0", 2, EndKind.FAILED);
+
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.FAILED);
+        assertThat(sample.orders("w1").runs()).isEmpty();
+    }
+
+    @Test
+    void countsOnlyFailuresAsAttempts() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").attempts(1).step(Jobs.step(1, 1)));
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.LAPSED);
+        sample.end("w1", 2, "a.0.0.0", 2, EndKind.STOPPED);
+
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+    }
+
+    @Test
+    void startsAllMembersOfAGangOrNone() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.gang(Jobs.step(2, 8))));
+        assertThat(sample.orders("w1").runs()).isEmpty();
+
+        sample.worker("w2", "r1");
+
+        assertThat(sample.orders("w1").runs()).hasSize(1);
+        assertThat(sample.orders("w2").runs()).hasSize(1);
+    }
+
+    @Test
+    void endsTheOtherMembersOfAGangAndStartsAllUnderOneNumber() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.gang(Jobs.step(2, 8))));
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.FAILED);
+        assertThat(sample.orders("w2").stops()).hasSize(1);
+        assertThat(sample.orders("w1").runs()).isEmpty();
+        sample.end("w2", 1, "a.0.0.1", 1, EndKind.BROKEN);
+
+        assertThat(sample.orders("w1").runs()).extracting(r -> r.run().run()).containsExactly(2);
+        assertThat(sample.orders("w2").runs()).extracting(r -> r.run().run()).containsExactly(2);
+    }
+
+    @Test
+    void takesTheEndOfOneMemberForTheWholeGang() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.gang(Jobs.step(2, 8))));
+
+        sample.end("w2", 1, "a.0.0.1", 1, EndKind.DONE);
+
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void placesTheWorkOfALostWorkerAgainFromItsCheckpoint() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.checkpointing(Jobs.step(1, 1))));
+        sample.running("w1", "a.0.0.0", 1, "saved-7");
+        sample.lose("w1");
+
+        sample.worker("w2", "r1");
+
+        assertThat(sample.orders("w2").runs())
+                .extracting(WorkOrders.OrderedRun::checkpoint)
+                .containsExactly("saved-7");
+        assertThat(sample.orders("w2").runs()).extracting(r -> r.run().run()).containsExactly(2);
+    }
+
+    // The bench found a second run after a power cut: the agent had acknowledged the end, and its claim of the
+    // restarted
+    // worker overwrote the row before the scheduler had read it.
+    @Test
+    void countsAnEndThatWasStoredBeforeTheWorkerRestarted() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+
+        sample.restart("w1", List.of(SampleBook.end(1, "a.0.0.0", 1, EndKind.DONE)));
+
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void reclaimsGuaranteedAcceleratorsFromLessUrgentJobs() {
+        sample.worker("w1", "r1");
+        sample.book().setGuarantees(Map.of("lab", 8));
+        sample.submit(Jobs.job("batch").priority(2).step(Jobs.step(8, 1)));
+        sample.submit(Jobs.job("urgent").priority(0).workspace("lab").step(Jobs.step(1, 4)));
+
+        assertThat(sample.orders("w1").stops()).hasSize(4);
+        for (int i = 0; i < 4; i++) {
+            TaskRun stopped = sample.orders("w1").stops().get(0);
+            sample.end("w1", i + 1, stopped.task().toString(), stopped.run(), EndKind.STOPPED);
+        }
+
+        assertThat(sample.orders("w1").runs())
+                .anyMatch(r -> r.run().task().job().equals("urgent"));
+    }
+
+    @Test
+    void restoresPlacementsFromWhatWasStored() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(2, 1)));
+
+        SampleBook next = sample.successor();
+
+        assertThat(next.orders("w1").runs()).isEqualTo(sample.orders("w1").runs());
+        next.end("w1", 1, "a.0.0.0", 1, EndKind.DONE);
+        next.end("w1", 2, "a.0.0.1", 1, EndKind.DONE);
+        assertThat(next.progress("a").phase()).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void opensAnOccurrenceWhenItIsDue() {
+        sample.worker("w1", "r1");
+        sample.submit(
+                Jobs.job("a").recurring(2, SampleBook.WALL_MS + 1_000, 5_000).step(Jobs.step(1, 1)));
+        assertThat(sample.orders("w1").runs()).isEmpty();
+
+        sample.pass(1_000);
+
+        assertThat(sample.orders("w1").runs())
+                .extracting(r -> r.run().task().toString())
+                .containsExactly("a.0.0.0");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
@@ -0,0 +1,145 @@
+package io.pollenreach.internal.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A book with workers that answer as told, and the rows that a store would hold. */
+final class SampleBook {
+    static final long WALL_MS = 1_000_000;
+
+    private final ClusterBook book = new ClusterBook((event, pairs) -> {});
+    private final Map<String, BatchJob> jobs = new LinkedHashMap<>();
+    private final Map<String, ProgressRow> progress = new HashMap<>();
+    private final Map<String, WorkOrders> orders = new HashMap<>();
+    private final Map<String, WorkerReport> reports = new HashMap<>();
+    private long version = 1;
+    private long nowMs;
+
+    ClusterBook book() {
+        return book;
+    }
+
+    void worker(String name, String rack) {
+        report(new WorkerReport(
+                name,
+                name + "-life",
+                name,
+                1,
+                "pool",
+                new Resources(32_000, 64_000, 8),
+                List.of("a", rack),
+                rack,
+                "zone",
+                true,
+                1,
+                0,
+                List.of(),
+                List.of(),
+                List.of(),
+                false));
+    }
+
+    void submit(Jobs job) {
+        BatchJob built = job.build();
+        jobs.put(built.id(), built);
+        book.accept(built, ++version, nowMs);
+        pass(0);
+    }
+
+    void cancel(String id) {
+        book.cancel(id, nowMs);
+        pass(0);
+    }
+
+    static RunEnd end(long number, String task, int run, EndKind kind) {
+        return new RunEnd(number, new TaskRun(TaskId.of(task), run), kind, "");
+    }
+
+    void end(String worker, long number, String task, int run, EndKind kind) {
+        WorkerReport r = reports.get(worker);
+        List<RunEnd> ends = new ArrayList<>(r.ends());
+        ends.add(end(number, task, run, kind));
+        report(with(r, r.life(), List.of(), ends, List.of()));
+    }
+
+    void running(String worker, String task, int run, String checkpoint) {
+        WorkerReport r = reports.get(worker);
+        RunningTask active = new RunningTask(new TaskRun(TaskId.of(task), run), checkpoint, 50);
+        report(with(r, r.life(), List.of(active), r.ends(), List.of()));
+    }
+
+    void restart(String worker, List<RunEnd> formerEnds) {
+        WorkerReport r = reports.get(worker);
+        report(with(r, r.life() + "-next", List.of(), List.of(), formerEnds));
+    }
+
+    void lose(String worker) {
+        report(reports.get(worker).asLost());
+    }
+
+    private static WorkerReport with(
+            WorkerReport r, String life, List<RunningTask> active, List<RunEnd> ends, List<RunEnd> formerEnds) {
+        return new WorkerReport(
+                r.agent(),
+                life,
+                r.instance(),
+                r.bornMs(),
+                r.pool(),
+                r.capacity(),
+                r.labels(),
+                r.rack(),
+                r.zone(),
+                r.takesTasks(),
+                r.sequence() + 1,
+                r.ordersSeen(),
+                active,
+                ends,
+                formerEnds,
+                false);
+    }
+
+    private void report(WorkerReport report) {
+        reports.put(report.agent(), report);
+        book.report(report, ++version, nowMs);
+        pass(0);
+    }
+
+    /** Lets time pass, places, and stores what changed. */
+    void pass(long ms) {
+        nowMs += ms;
+        book.plan(nowMs, WALL_MS + nowMs);
+        ClusterBook.Changes changes = book.changes();
+        progress.putAll(changes.jobs());
+        orders.putAll(changes.workers());
+        book.committed(++version);
+    }
+
+    /** Returns a book that a scheduler would build that takes office now. */
+    SampleBook successor() {
+        SampleBook next = new SampleBook();
+        next.version = version;
+        next.reports.putAll(reports);
+        long sequence = 0;
+        for (BatchJob job : jobs.values()) {
+            next.jobs.put(job.id(), job);
+            next.book.restore(job, ++sequence, progress.get(job.id()), nowMs);
+        }
+        reports.values().forEach(r -> next.book.restore(r, ++next.version, orders.get(r.agent()), version, nowMs));
+        next.progress.putAll(progress);
+        next.orders.putAll(orders);
+        next.book.restored(nowMs);
+        next.pass(0);
+        return next;
+    }
+
+    WorkOrders orders(String worker) {
+        return orders.getOrDefault(worker, WorkOrders.none(""));
+    }
+
+    ProgressRow progress(String job) {
+        return progress.get(job);
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/OfficeWatch.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/OfficeWatch.java
@@ -72,14 +72,13 @@
         return known && watch.healthyFor(0);
     }
 
-    /** Tells whether the office seems to be vacant: resigned from, or silent for a time while the store was heard. */
-    boolean vacant(long silenceMs) {
+    /**
+     * Tells whether the office seems to be vacant: resigned from, held by an earlier process of this entry, or silent for a
+     * time while the store was heard.
+     */
+    boolean vacantFor(String self, long silenceMs) {
         boolean silent = clock.nowMs() - changedMs > silenceMs;
-        return known && (holder.isEmpty() || silent && watch.healthyFor(silenceMs));
-    }
-
-    String holder() {
-        return holder;
+        return known && (holder.isEmpty() || holder.equals(self) || silent && watch.healthyFor(silenceMs));
     }
 
     long termVersion() {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -85,7 +85,7 @@
     private void run() {
         while (!closed) {
             try {
-                if (doubt || office.vacant(VACANT_AFTER_MS)) {
+                if (doubt || office.vacantFor(self, VACANT_AFTER_MS)) {
                     stand();
                 } else {
                     Thread.sleep(CANDIDATE_PAUSE_MS);
@@ -113,6 +113,7 @@
     }
 
     private void stand() throws InterruptedException {
+        long seen = office.termVersion();
         if (!doubt) {
             Thread.sleep(ThreadLocalRandom.current().nextLong(JITTER_MS));
         }
@@ -121,9 +122,8 @@
         String holder = row.flatMap(r -> RowCodec.fromRow(r, OfficeRows.Term.class))
                 .map(OfficeRows.Term::holder)
                 .orElse("");
-        boolean mine = holder.equals(self);
-        boolean stillVacant = holder.isEmpty() || mine || version <= office.termVersion();
-        if (!stillVacant || doubt && !mine && !holder.isEmpty()) {
+        // Another entry may have taken office since it was seen to be vacant.
+        if (!holder.isEmpty() && !holder.equals(self) && (doubt || version != seen)) {
             doubt = false;
             return;
         }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
@@ -1,5 +1,6 @@
 package io.pollenreach.daemon.internal.work;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -81,6 +82,7 @@
         private long leaseUntilMs;
         private long endsStored;
         private boolean looking;
+        private List<RunEnd> formerEnds = List.of();
 
         Life(RunnerFacts worker, String id, long token) {
             this.worker = worker;
@@ -232,10 +234,14 @@
         Optional<WorkerReport> same = row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class))
                 .filter(r -> !r.lost() && r.instance().equals(worker.instance()) && r.bornMs() == worker.bornMs());
         String id = same.map(WorkerReport::life).orElse(worker.instance() + "@" + worker.bornMs() + "/" + before);
+        List<RunEnd> former = row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class))
+                .map(r -> formerEnds(r, same.isPresent()))
+                .orElse(List.of());
         WorkerReport report = report(
                 worker,
                 id,
                 false,
+                former,
                 same.map(WorkerReport::sequence).orElse(0L) + 1,
                 same.map(WorkerReport::ordersSeen).orElse(0L),
                 same.map(WorkerReport::active).orElse(List.of()),
@@ -247,15 +253,26 @@
             Life claimed = new Life(worker, id, version);
             claimed.sequence = report.sequence();
             claimed.runs.restoreEnds(report.ends());
+            claimed.formerEnds = former;
             EVENTS.info("worker-claimed", "life", id, "token", version, "continued", same.isPresent());
             return claimed;
         });
     }
 
+    // They were acknowledged to the worker, so this row is the only place that has them.
+    private static List<RunEnd> formerEnds(WorkerReport before, boolean sameLife) {
+        List<RunEnd> all = new ArrayList<>(before.formerEnds());
+        if (!sameLife) {
+            before.ends().stream().filter(e -> e.number() > 0).forEach(all::add);
+        }
+        return all;
+    }
+
     private WorkerReport report(
             RunnerFacts worker,
             String id,
             boolean takesTasks,
+            List<RunEnd> formerEnds,
             long sequence,
             long ordersSeen,
             List<RunningTask> active,
@@ -275,6 +292,7 @@
                 ordersSeen,
                 active,
                 ends,
+                formerEnds,
                 false);
     }
 
@@ -313,9 +331,13 @@
         if (row.isEmpty() && !whole || row.map(r -> r.version() <= l.ordersSeen).orElse(false)) {
             return;
         }
-        WorkOrders orders = row.flatMap(r -> RowCodec.fromRow(r, WorkOrders.class))
-                .filter(o -> o.life().equals(l.id))
-                .orElse(WorkOrders.none(l.id));
+        WorkOrders written =
+                row.flatMap(r -> RowCodec.fromRow(r, WorkOrders.class)).orElse(WorkOrders.none(""));
+        if (written.life().equals(l.id)) {
+            // The scheduler knows this life, so it has taken what earlier lives left.
+            l.formerEnds = List.of();
+        }
+        WorkOrders orders = written.life().equals(l.id) ? written : WorkOrders.none(l.id);
         boolean first = l.ordersSeen == 0;
         l.ordersSeen = row.map(StoredRow::version).orElse(1L);
         boolean changed = l.runs.take(orders);
@@ -513,6 +535,7 @@
                                 facts.sameProcess(l.worker) ? facts : l.worker,
                                 l.id,
                                 l.settled && !facts.draining(),
+                                l.formerEnds,
                                 ++l.sequence,
                                 l.ordersSeen,
                                 l.runs.active(),
