Spread the rows of agents and entries over partitions, and pace refused reports

Ruled out: the call budget (well below 800/s). Change: eight partitions for jobs, cancels and reports; a refused report waits 150 to 450 ms; looks pause while ends are unstored.

--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -26,6 +26,9 @@
     /** How long a gang waits before the workers that suit it best take nothing less urgent, in milliseconds. */
     static final long CLAIM_AFTER_MS = 1_500;
 
+    /** How long a task stays away from a worker on which it, or others lately, failed, in milliseconds. */
+    static final long AVOID_MS = 2_000;
+
     /** Tasks of one step that are placed together. Immutable. */
     private record Unit(JobProgress job, List<TaskProgress> tasks, StepSpec spec, boolean guaranteed) {
         int rank() {
@@ -148,13 +151,29 @@
     }
 
     private List<WorkerBook> usable(Unit unit) {
-        return book.workers().stream()
+        List<WorkerBook> able = book.workers().stream()
                 .filter(w -> w.report().pool().equals(unit.job().job().pool()))
                 .filter(w -> !w.report().lost() && w.report().takesTasks())
                 .filter(w -> nowMs - w.heardMs() <= FRESH_MS)
                 .filter(w -> !w.health().aside(nowMs))
                 .filter(w -> w.report().has(unit.spec().requiredLabel()))
                 .toList();
+        List<WorkerBook> sound = able.stream().filter(w -> !avoided(unit, w)).toList();
+        if (sound.size() == able.size() || waitedMs(unit) > AVOID_MS) {
+            return able;
+        }
+        Room empty = new Room(sound, w -> w.report().capacity());
+        boolean enough = empty.fit(unit.tasks(), unit.spec(), sound, false).isPresent();
+        return enough ? sound : able;
+    }
+
+    /** Tells whether a worker may be to blame for a failure that the tasks cannot afford once more. */
+    private static boolean avoided(Unit unit, WorkerBook w) {
+        boolean lastAttempt = unit.tasks().stream()
+                .anyMatch(t -> t.failures() + 1 >= unit.job().job().maxAttempts());
+        return unit.tasks().stream()
+                        .anyMatch(t -> t.failures() > 0 && t.failedOn().equals(w.name()))
+                || lastAttempt && w.health().failures() > 0;
     }
 
     private void reclaim(Unit unit, List<WorkerBook> usable) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/Tables.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/Tables.java
@@ -1,5 +1,8 @@
 package io.pollenreach.daemon.internal.store;
 
+import java.util.List;
+import java.util.stream.IntStream;
+
 /** The tables of the store that the scheduler, the entries and the agents share. Stateless. */
 public final class Tables {
     /** A row a job, written once when it is accepted. */
@@ -26,8 +29,36 @@
     /** Tables of orders: an agent follows one, so that most changes wake only the agents that they concern. */
     public static final int ORDER_TABLES = 16;
 
+    /**
+     * Partitions of the tables that many processes write. The store applies the transactions of one partition one after
+     * the other, so a slow store would otherwise serve a handful of reports a second.
+     */
+    private static final int PARTITIONS = 8;
+
+    private static final String ONLY = "";
+
     private Tables() {}
 
+    /** Returns the partition of a row; the scheduler's own tables share one, since it writes them together. */
+    public static String partitionOf(String table, String key) {
+        return isSpread(table) ? partition(Math.floorMod(key.hashCode(), PARTITIONS)) : ONLY;
+    }
+
+    /** Returns all partitions that a table may have rows in. */
+    public static List<String> partitionsOf(String table) {
+        return isSpread(table)
+                ? IntStream.range(0, PARTITIONS).mapToObj(Tables::partition).toList()
+                : List.of(ONLY);
+    }
+
+    private static boolean isSpread(String table) {
+        return table.equals(JOBS) || table.equals(CANCELS) || table.equals(WORKERS);
+    }
+
+    private static String partition(int number) {
+        return "p" + number;
+    }
+
     /** Returns the table that holds an agent's orders. */
     public static String ordersOf(String agent) {
         return orders(Math.floorMod(agent.hashCode(), ORDER_TABLES));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.pollenreach.Clock;
@@ -47,6 +48,9 @@
     /** The shortest lease with which an order to start is worth sending, in milliseconds. */
     private static final long MIN_LEASE_MS = 500;
 
+    /** Pause between looks while ends wait to be stored, in milliseconds; a report takes some ten. */
+    private static final long UNSTORED_LOOK_MS = 25;
+
     private static final long TICK_MS = 100;
     private static final long RETRY_MS = 150;
     private static final long ORDERS_WAIT_MS = 10_000;
@@ -77,6 +81,7 @@
         private boolean reporting;
         private boolean reportSoon = true;
         private long reportedMs;
+        private long reportNotBeforeMs;
         private long lookedMs;
         private long runnerClockMs;
         private long leaseUntilMs;
@@ -401,7 +406,12 @@
         }
         reportWhenDue(l);
         act(l);
-        look(l);
+        if (l.runs.newestEnd() > l.endsStored) {
+            // The worker answers at once while it has ends to list, until the store has them.
+            thread.schedule(() -> guarded(() -> look(l)), UNSTORED_LOOK_MS, TimeUnit.MILLISECONDS);
+        } else {
+            look(l);
+        }
     }
 
     private void lookFailed(Life l, PollenreachException e) {
@@ -522,7 +532,8 @@
         boolean left = l.worker.instance().isEmpty();
         boolean heardOfWorker = left || l.lookedMs > 0 && nowMs - l.lookedMs < STALE_LOOK_MS;
         boolean due = l.reportSoon || !left && nowMs - l.reportedMs >= REPORT_MS;
-        if (l.reporting || l.ordersSeen == 0 || !due || !heardOfWorker || closed) {
+        boolean held = l.reporting || nowMs < l.reportNotBeforeMs;
+        if (held || l.ordersSeen == 0 || !due || !heardOfWorker || closed) {
             return;
         }
         l.reporting = true;
@@ -574,6 +585,8 @@
         if (e.code() == ResultCode.PLATFORM_UNAVAILABLE) {
             l.reporting = false;
             l.reportSoon = true;
+            // Agents that are refused together must not come back together.
+            l.reportNotBeforeMs = clock.nowMs() + ThreadLocalRandom.current().nextLong(RETRY_MS, 3 * RETRY_MS);
             return;
         }
         later(() -> readBack(l, draft));
