--- /dev/null
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -0,0 +1,287 @@
+package io.pollenreach.bench.emulator;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pollenreach.Clock;
+import io.pollenreach.daemon.internal.http.HttpAnswer;
+import io.pollenreach.daemon.internal.http.HttpCall;
+import io.pollenreach.daemon.internal.http.HttpCaller;
+import io.pollenreach.daemon.internal.http.HttpListener;
+import io.pollenreach.internal.json.Json;
+
+/**
+ * A worker of the platform: runs tasks for a time that their payload gives, under a lease.
+ *
+ * <p>A payload is {@code work=MS} or {@code work=MS fails=N}: the first N runs of each task fail. Safe for use by many
+ * threads.
+ */
+public final class EmulatedWorker implements AutoCloseable {
+    /** Accelerators of each worker. */
+    public static final int ACCELERATORS = 8;
+
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final long TICK_MS = 20;
+    private static final long HEARTBEAT_MS = 300;
+    private static final long STOP_MS = 50;
+    private static final long CALL_TIMEOUT_MS = 500;
+    private static final int PERCENT = 100;
+
+    private static final class Run {
+        private final String task;
+        private final int run;
+        private final long workMs;
+        private final boolean fails;
+        private long doneMs;
+        private long stopAtMs = Long.MAX_VALUE;
+
+        Run(String task, int run, long workMs, boolean fails) {
+            this.task = task;
+            this.run = run;
+            this.workMs = workMs;
+            this.fails = fails;
+        }
+    }
+
+    private final Clock clock = Clock.system();
+    private final String instance;
+    private final String rack;
+    private final String agentAddress;
+    private final RunRecord record;
+    private final long born;
+    private final Map<String, Run> running = new LinkedHashMap<>();
+    private final TreeMap<Long, ObjectNode> ends = new TreeMap<>();
+    private final Map<String, Integer> endedUpTo = new HashMap<>();
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(r -> {
+        Thread t = new Thread(r, "emulated-worker");
+        t.setDaemon(true);
+        return t;
+    });
+    private final HttpCaller http;
+    private final HttpListener server;
+    private long fence;
+    private long leaseUntilMs;
+    private long lastEnd;
+    private long sequence;
+    private long lateStartsMs;
+
+    /**
+     * Starts a worker that announces itself to its agent.
+     *
+     * @param ip where it listens, on a free port
+     * @param instance its name
+     * @param rack its rack
+     * @param agentAddress where its agent takes announcements, as {@code ip:port}
+     * @param record what it saw
+     */
+    public EmulatedWorker(String ip, String instance, String rack, String agentAddress, RunRecord record)
+            throws Exception {
+        this.instance = instance;
+        this.rack = rack;
+        this.agentAddress = agentAddress;
+        this.record = record;
+        born = clock.wallMs();
+        http = new HttpCaller(1, 2);
+        server = HttpListener.start(ip + ":0", 1, MAX_BODY_BYTES, this::answer);
+        timers.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        timers.scheduleWithFixedDelay(this::announce, 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the port on which it listens. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Leaves orders to start unanswered and carries them out after a delay in milliseconds; 0 ends that. */
+    public synchronized void setLateStarts(long afterMs) {
+        lateStartsMs = afterMs;
+    }
+
+    private void announce() {
+        ObjectNode n = JsonNodeFactory.instance.objectNode();
+        n.put("service", "pool")
+                .put("address", "127.0.0.1:" + port())
+                .put("zone", "zone")
+                .put("version", "v1");
+        n.put("slots", ACCELERATORS)
+                .put("state", "ready")
+                .put("cold-remaining-ms", 0)
+                .put("born", born);
+        n.put("clock-ms", clock.nowMs()).put("sequence", ++sequence);
+        n.putObject("capacity")
+                .put("cpu", 32_000)
+                .put("requested-memory-mb", 65_536)
+                .put("gpu", ACCELERATORS);
+        n.putArray("labels").add("a").add(rack);
+        URI uri = URI.create("http://" + agentAddress + "/Instances.Heartbeat/" + instance);
+        // An agent that is down hears the next one.
+        http.call("POST", uri, Map.of("Content-Type", "application/json"), bytes(n), CALL_TIMEOUT_MS);
+    }
+
+    private synchronized void tick() {
+        long nowMs = clock.nowMs();
+        boolean lapsed = nowMs > leaseUntilMs;
+        for (Run r : List.copyOf(running.values())) {
+            r.doneMs += TICK_MS;
+            if (lapsed) {
+                end(r, "lapsed");
+            } else if (nowMs >= r.stopAtMs) {
+                end(r, "stopped");
+            } else if (r.fails) {
+                end(r, "failed");
+            } else if (r.doneMs >= r.workMs) {
+                end(r, "done");
+            }
+        }
+    }
+
+    private void end(Run r, String how) {
+        running.remove(r.task);
+        endedUpTo.merge(r.task, r.run, Math::max);
+        ObjectNode e = JsonNodeFactory.instance.objectNode();
+        e.put("task", r.task).put("run", r.run).put("how", how);
+        ends.put(++lastEnd, e);
+        record.ended(r.task);
+    }
+
+    private CompletableFuture<HttpAnswer> answer(HttpCall call) {
+        JsonNode body;
+        try {
+            body = Json.lenient().readTree(call.body());
+        } catch (IOException e) {
+            return CompletableFuture.completedFuture(HttpAnswer.of(400));
+        }
+        synchronized (this) {
+            boolean other = call.header()
+                    .apply("X-Pollenreach-Expected-Instance")
+                    .map(i -> !i.equals(instance))
+                    .orElse(false);
+            if (other) {
+                return CompletableFuture.completedFuture(HttpAnswer.of(421));
+            }
+            if (call.path().equals("/run-start") && lateStartsMs > 0) {
+                timers.schedule(() -> answer(call.path(), body), lateStartsMs, TimeUnit.MILLISECONDS);
+                return new CompletableFuture<>();
+            }
+        }
+        return CompletableFuture.completedFuture(answer(call.path(), body));
+    }
+
+    private synchronized HttpAnswer answer(String path, JsonNode body) {
+        long token = body.path("fencing-token").asLong();
+        if (token < fence) {
+            return refused("fence");
+        }
+        fence = token;
+        switch (path) {
+            case "/run-start":
+                return start(body);
+            case "/run-stop":
+                return stop(body);
+            case "/hold":
+                return hold(body);
+            default:
+                return HttpAnswer.of(404);
+        }
+    }
+
+    private HttpAnswer start(JsonNode body) {
+        String task = body.path("task").asText();
+        int run = body.path("run").asInt();
+        long until = body.path("until-ms").asLong();
+        if (until <= clock.nowMs()) {
+            return refused("late");
+        }
+        leaseUntilMs = Math.max(leaseUntilMs, until);
+        Run present = running.get(task);
+        if (present != null && present.run == run) {
+            return HttpAnswer.of(200, stamp());
+        }
+        if (run <= endedUpTo.getOrDefault(task, 0) || present != null) {
+            return refused("old");
+        }
+        Map<String, Long> spec = new HashMap<>();
+        for (String pair : body.path("specification").asText().split(" ")) {
+            spec.put(pair.substring(0, pair.indexOf('=')), Long.parseLong(pair.substring(pair.indexOf('=') + 1)));
+        }
+        running.put(task, new Run(task, run, spec.get("work"), run <= spec.getOrDefault("fails", 0L)));
+        record.started(task, run, instance, running.size(), ACCELERATORS);
+        return HttpAnswer.of(200, stamp());
+    }
+
+    private HttpAnswer stop(JsonNode body) {
+        String task = body.path("task").asText();
+        int run = body.path("run").asInt();
+        Run present = running.get(task);
+        if (present != null && present.run == run) {
+            present.stopAtMs = Math.min(present.stopAtMs, clock.nowMs() + STOP_MS);
+        } else {
+            endedUpTo.merge(task, run, Math::max);
+        }
+        return HttpAnswer.of(200, stamp());
+    }
+
+    private HttpAnswer hold(JsonNode body) {
+        long acknowledged = body.path("ack-cursor").asLong();
+        for (Map.Entry<Long, ObjectNode> e :
+                new ArrayList<>(ends.headMap(acknowledged, true).entrySet())) {
+            ends.remove(e.getKey());
+            if (e.getValue().path("how").asText().equals("done")) {
+                record.noted(e.getValue().path("task").asText());
+            }
+        }
+        leaseUntilMs = Math.max(leaseUntilMs, body.path("until-ms").asLong());
+        ObjectNode answer = stamp();
+        ArrayNode rows = answer.putArray("running");
+        running.values().forEach(r -> rows.addArray()
+                .add(r.task)
+                .add(r.run)
+                .add("")
+                .add(Math.min(PERCENT, PERCENT * r.doneMs / Math.max(1, r.workMs))));
+        ArrayNode finished = answer.putArray("finished");
+        ends.forEach((n, e) -> finished.addArray()
+                .add(n)
+                .add(e.path("task").asText())
+                .add(e.path("run").asInt())
+                .add(e.path("how").asText())
+                .add(""));
+        return HttpAnswer.of(200, answer);
+    }
+
+    private HttpAnswer refused(String reason) {
+        return HttpAnswer.of(409, stamp().put("reason", reason));
+    }
+
+    private ObjectNode stamp() {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("clock-ms", clock.nowMs())
+                .put("born", born);
+    }
+
+    private static byte[] bytes(ObjectNode n) {
+        return n.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        timers.shutdownNow();
+        server.close();
+        http.close();
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCall.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCall.java
@@ -11,8 +11,14 @@
  * @param method the method
  * @param host the host that the caller named, without a port
  * @param path the path, from its first slash, without a query
+ * @param query finds a parameter of the query by its name
  * @param header finds a header by its name
  * @param body the body; may be empty
  */
 public record HttpCall(
-        String method, String host, String path, Function<String, Optional<String>> header, byte[] body) {}
+        String method,
+        String host,
+        String path,
+        Function<String, Optional<String>> query,
+        Function<String, Optional<String>> header,
+        byte[] body) {}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
@@ -95,6 +95,7 @@
                 // The port that clients may add says nothing.
                 host.contains(":") ? host.substring(0, host.indexOf(':')) : host,
                 '/' + request.getPath(),
+                name -> Optional.ofNullable(request.getQueryParams().get(name)),
                 name -> Optional.ofNullable(request.getHeaders().get(name)),
                 body);
     }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -14,39 +16,70 @@
  */
 final class Daemon implements AutoCloseable {
     private static final String MAIN = "io.pollenreach.daemon.Main";
+    private static final String PLATFORM_MAIN = "io.pollenreach.platform.Main";
+    private static final String ANY_PORT = "0";
     private static final long KILL_WAIT_MS = 5_000;
 
-    private final String program;
     private final String name;
-    private final Path settings;
+    private final List<String> command;
+    private final Map<String, String> environment;
     private final File log;
     private Process process;
 
     /** Creates a daemon, which does not run yet; {@code program} is {@code entry} or {@code agent}. */
     Daemon(String program, String name, Path directory, List<String> settingsLines) throws IOException {
-        this.program = program;
+        this(
+                name,
+                directory,
+                directory.resolve(name + ".yaml"),
+                settingsLines,
+                List.of(
+                        MAIN,
+                        program,
+                        "--settings",
+                        directory.resolve(name + ".yaml").toString()),
+                Map.of());
+    }
+
+    private Daemon(
+            String name,
+            Path directory,
+            Path settings,
+            List<String> settingsLines,
+            List<String> command,
+            Map<String, String> environment)
+            throws IOException {
         this.name = name;
-        settings = directory.resolve(name + ".yaml");
+        this.command = command;
+        this.environment = environment;
         log = directory.resolve(name + ".log").toFile();
         Files.write(settings, settingsLines);
         Files.deleteIfExists(log.toPath());
     }
 
+    /** Creates a program of the users' platform, with settings in its format. */
+    static Daemon onPlatform(String program, String name, Path directory, List<String> settingsLines)
+            throws IOException {
+        Path settings = directory.resolve(name + ".conf");
+        return new Daemon(
+                name,
+                directory,
+                settings,
+                settingsLines,
+                List.of(PLATFORM_MAIN, program, ANY_PORT),
+                Map.of("POLLENREACH_NODE_FILE", settings.toString()));
+    }
+
     String name() {
         return name;
     }
 
     void start() throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(
-                java,
-                "-Xmx96m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                MAIN,
-                program,
-                "--settings",
-                settings.toString());
+        List<String> words = new ArrayList<>(List.of(java, "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        words.addAll(command);
+        ProcessBuilder builder = new ProcessBuilder(words);
+        builder.environment().putAll(environment);
         builder.environment().put("CLASSPATH", System.getProperty("java.class.path"));
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         process = builder.start();
--- /dev/null
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -0,0 +1,196 @@
+package io.pollenreach.systemtest;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.pollenreach.bench.emulator.EmulatedStore;
+import io.pollenreach.bench.emulator.EmulatedWorker;
+import io.pollenreach.bench.emulator.RunRecord;
+
+/**
+ * Entries and agents of the users' platform as real processes, between emulated workers and an emulated store inside this
+ * process.
+ *
+ * <p>Used by one thread.
+ */
+final class PlatformCluster implements AutoCloseable {
+    static final String KEY = "key-1";
+    private static final String IP = "127.0.0.1";
+    private static final String PREFIX = "/jobs/";
+    private static final long START_TIMEOUT_MS = 30_000;
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+    private static final int OK = 200;
+
+    private final Path directory;
+    private final EmulatedStore store = new EmulatedStore(IP);
+    private final RunRecord record = new RunRecord();
+    private final Map<String, Daemon> daemons = new LinkedHashMap<>();
+    private final Map<String, String> ingress = new LinkedHashMap<>();
+    private final List<EmulatedWorker> workers = new ArrayList<>();
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private PlatformCluster(String name) throws Exception {
+        directory = Files.createDirectories(Path.of("target", "clusters", name));
+    }
+
+    /** Starts entries {@code e1} and so on, and agents {@code a1} and so on with a worker each. */
+    static PlatformCluster start(String name, int entries, int workers) throws Exception {
+        PlatformCluster c = new PlatformCluster(name);
+        try {
+            c.configure(1, List.of(KEY));
+            for (int i = 1; i <= entries; i++) {
+                c.addEntry("e" + i);
+            }
+            for (int i = 1; i <= workers; i++) {
+                c.addWorker("a" + i, "r" + (1 + (i - 1) / 3));
+            }
+            Await.until(
+                    "workers are known",
+                    START_TIMEOUT_MS,
+                    () -> c.store.table("workers").size() == workers);
+            for (String e : c.ingress.keySet()) {
+                Await.until(
+                        e + " answers",
+                        START_TIMEOUT_MS,
+                        () -> c.call(e, "GET", "", "", KEY).statusCode() == OK);
+            }
+            return c;
+        } catch (Exception | AssertionError e) {
+            c.close();
+            throw e;
+        }
+    }
+
+    /** Writes a version of the operator's configuration. */
+    void configure(int version, List<String> keys) {
+        String config = "{\"version\":" + version + ",\"routes\":[{\"name\":\"q\",\"host\":\"" + IP
+                + "\",\"path-prefix\":\"" + PREFIX + "\",\"service\":\"pool\",\"priority\":1,\"max-attempts\":3}],"
+                + "\"tenants\":[{\"name\":\"team\",\"api-keys\":[\"" + String.join("\",\"", keys)
+                + "\"],\"guaranteed\":{\"gpu\":4}}]}";
+        store.put("op", "config", config.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void addEntry(String name) throws Exception {
+        String front = Ports.freeAddress();
+        ingress.put(name, front);
+        List<String> lines = common(name);
+        lines.add("listen-addresses.front=" + front);
+        lines.add("listen-addresses.readiness=" + Ports.freeAddress());
+        start(Daemon.onPlatform("entry", name, directory, lines));
+    }
+
+    private void addWorker(String name, String rack) throws Exception {
+        String announcements = Ports.freeAddress();
+        EmulatedWorker worker = new EmulatedWorker(IP, "i-" + name, rack, announcements, record);
+        workers.add(worker);
+        List<String> lines = common(name);
+        lines.add("listen-addresses.control=" + announcements);
+        lines.add("app=" + IP + ":" + worker.port());
+        start(Daemon.onPlatform("agent", name, directory, lines));
+    }
+
+    private void start(Daemon daemon) throws Exception {
+        daemons.put(daemon.name(), daemon);
+        daemon.start();
+    }
+
+    private List<String> common(String name) {
+        return new ArrayList<>(List.of(
+                "node-name=" + name,
+                "zone=zone",
+                "ip-address=" + IP,
+                "platform.address=" + IP + ":" + store.port(),
+                "bounds.max-hold-ms=6000",
+                "bounds.revocation-ms=5000",
+                "bounds.grace-period-s=6",
+                "field.from.the.future=x"));
+    }
+
+    EmulatedStore store() {
+        return store;
+    }
+
+    RunRecord record() {
+        return record;
+    }
+
+    List<EmulatedWorker> workers() {
+        return workers;
+    }
+
+    Daemon daemon(String name) {
+        return daemons.get(name);
+    }
+
+    List<String> agents() {
+        return daemons.keySet().stream().filter(n -> n.startsWith("a")).toList();
+    }
+
+    List<String> entries() {
+        return List.copyOf(ingress.keySet());
+    }
+
+    /** Returns an id as submitters choose them. */
+    static String id(int number) {
+        return String.format("%016x", number);
+    }
+
+    /** Submits until some entry accepts, as submitters do. */
+    void submit(String id, String payload, String steps) throws Exception {
+        String body = "{\"specification\":\"" + payload + "\",\"steps\":" + steps + "}";
+        Await.until("submitted " + id, START_TIMEOUT_MS, () -> {
+            for (String e : ingress.keySet()) {
+                if (daemon(e).alive() && call(e, "POST", id, body, KEY).statusCode() == OK) {
+                    return true;
+                }
+            }
+            return false;
+        });
+    }
+
+    /** Asks any entry that answers for the state of a job. */
+    String state(String id) throws Exception {
+        for (String e : ingress.keySet()) {
+            if (daemon(e).alive()) {
+                HttpResponse<String> r = call(e, "GET", id, "", KEY);
+                if (r.statusCode() == OK) {
+                    return r.body();
+                }
+            }
+        }
+        return "";
+    }
+
+    void awaitState(String id, String state, long timeoutMs) throws Exception {
+        Await.until(id + " is " + state, timeoutMs, () -> state(id).contains('"' + state + '"'));
+    }
+
+    HttpResponse<String> call(String entry, String method, String id, String body, String key) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + ingress.get(entry) + PREFIX + id))
+                .timeout(CALL_TIMEOUT)
+                .header("Authorization", "Bearer " + key)
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return http.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (Daemon d : daemons.values()) {
+            d.close();
+        }
+        workers.forEach(EmulatedWorker::close);
+        store.close();
+    }
+}
