Preempt for every urgent job at a bounded price, age reports across terms, refuse truly while the store is silent

Ruled out: placement latency (half within 105 ms). Change: jobs of priority 0 preempt when that undoes no more than they bring; waits for locality end after 4 s; an entry remembers when it saw which store version, so reports keep their age; after an unanswered write calls probe with a read first. Found while splitting the agent: a restarted agent could refuse a run at work, and refuse one that a late order may yet start; both now have tests.

--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -66,12 +66,16 @@
         }
     }
 
-    /** Adds a worker with the orders that an earlier scheduler stored; all its jobs must have been added before. */
-    public void restore(WorkerReport report, long reportVersion, WorkOrders orders, long ordersVersion, long nowMs) {
-        WorkerBook worker = new WorkerBook(report, reportVersion, nowMs);
-        worker.restore(orders, ordersVersion, this::occupied, nowMs);
+    /**
+     * Adds a worker with the orders that an earlier scheduler stored; all its jobs must have been added before.
+     *
+     * @param heardMs a time, by the scheduler's steady clock, at which the report had surely been written
+     */
+    public void restore(WorkerReport report, long reportVersion, WorkOrders orders, long ordersVersion, long heardMs) {
+        WorkerBook worker = new WorkerBook(report, reportVersion, heardMs);
+        worker.restore(orders, ordersVersion, this::occupied, heardMs);
         workers.put(worker.name(), worker);
-        report(report, reportVersion, nowMs);
+        report(report, reportVersion, heardMs);
     }
 
     /**
@@ -314,7 +318,7 @@
 
     /** Places what can be placed. */
     public void plan(long nowMs, long wallMs) {
-        new PlacementPass(this, log, nowMs, wallMs).run();
+        new PlacementPass(this, nowMs, wallMs).run();
     }
 
     Map<String, JobProgress> jobs() {
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -11,18 +11,20 @@
 /**
  * One pass over everything that waits, most urgent first.
  *
- * <p>Jobs of priority 0 inside their workspace's guarantee come first and may reclaim room from less urgent ones. What
+ * <p>Jobs of priority 0 inside their workspace's guarantee come first and reclaim room from less urgent ones; others of
+ * priority 0 do so when that undoes no more work than they bring. What
  * they wait for is claimed, so that nothing less urgent slips into it. For use by one thread.
  */
 final class PlacementPass {
-    private static final String PRIORITY_OF_GUARANTEE = "guaranteed";
-
     /** A worker that gave no report for this long gets no new tasks, in milliseconds: three missed reports. */
     static final long FRESH_MS = 3_500;
 
     /** Shortest wait for a place near the data or on one rack before tasks are spread, in milliseconds. */
     static final long MIN_LOCALITY_WAIT_MS = 1_500;
 
+    /** Longest such wait, in milliseconds: estimates are often several times too long. */
+    static final long MAX_LOCALITY_WAIT_MS = 4_000;
+
     /** How long a gang waits before the workers that suit it best take nothing less urgent, in milliseconds. */
     static final long CLAIM_AFTER_MS = 1_500;
 
@@ -41,14 +43,12 @@
     }
 
     private final ClusterBook book;
-    private final DecisionLog log;
     private final long nowMs;
     private final long wallMs;
     private final Room room;
 
-    PlacementPass(ClusterBook book, DecisionLog log, long nowMs, long wallMs) {
+    PlacementPass(ClusterBook book, long nowMs, long wallMs) {
         this.book = book;
-        this.log = log;
         this.nowMs = nowMs;
         this.wallMs = wallMs;
         room = new Room(book.workers(), WorkerBook::free);
@@ -114,7 +114,7 @@
             book.place(unit.job(), fit.get(), nowMs);
             return;
         }
-        if (unit.guaranteed()) {
+        if (unit.guaranteed() || unit.job().job().priority() == 0) {
             reclaim(unit, usable);
         } else if (unit.spec().gang() && waitedMs(unit) > CLAIM_AFTER_MS) {
             claim(unit, usable);
@@ -146,7 +146,9 @@
     private static long localityWaitMs(Unit unit) {
         boolean picky = oneRack(unit) || unit.spec().rackOfData().isPresent();
         return picky && !unit.guaranteed()
-                ? Math.max(MIN_LOCALITY_WAIT_MS, unit.spec().estimatedMs())
+                ? Math.min(
+                        MAX_LOCALITY_WAIT_MS,
+                        Math.max(MIN_LOCALITY_WAIT_MS, unit.spec().estimatedMs()))
                 : 0;
     }
 
@@ -185,7 +187,9 @@
             plan = reclaim.find(unit.tasks(), unit.spec(), priority, usable, false);
         }
         if (plan.isEmpty()) {
-            log.note("reclaim-impossible", "task", unit.first(), "why", PRIORITY_OF_GUARANTEE);
+            return;
+        }
+        if (!unit.guaranteed() && plan.get().lostCoreMs() > worthCoreMs(unit)) {
             return;
         }
         for (TaskProgress victim : plan.get().victims()) {
@@ -196,6 +200,11 @@
         room.take(plan.get().assignments(), unit.spec().occupied());
     }
 
+    /** Returns how much work of others an urgent job without a claim to the room may undo: as much as it brings. */
+    private static double worthCoreMs(Unit unit) {
+        return unit.tasks().size() * unit.spec().need().cores() * unit.spec().estimatedMs();
+    }
+
     private void claim(Unit unit, List<WorkerBook> usable) {
         Room whole = new Room(usable, w -> w.report().capacity());
         whole.fit(unit.tasks(), unit.spec(), close(unit, usable), oneRack(unit))
--- a/core/src/main/java/io/pollenreach/internal/batch/TaskRun.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskRun.java
@@ -5,4 +5,9 @@
  *
  * <p>Immutable.
  */
-public record TaskRun(TaskId task, int run) {}
+public record TaskRun(TaskId task, int run) {
+    @Override
+    public String toString() {
+        return task + "#" + run;
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -44,6 +44,7 @@
         List<RunEnd> ends,
         List<RunEnd> formerEnds,
         boolean lost) {
+    /** Creates a report; lists that are missing in older rows are empty. */
     public WorkerReport {
         labels = labels == null ? List.of() : List.copyOf(labels);
         active = active == null ? List.of() : List.copyOf(active);
@@ -75,6 +76,28 @@
                 true);
     }
 
+    /** Returns the same report with what is known of the worker's runs. */
+    public WorkerReport withRuns(
+            long ordersSeen, List<RunningTask> active, List<RunEnd> ends, List<RunEnd> formerEnds) {
+        return new WorkerReport(
+                agent,
+                life,
+                instance,
+                bornMs,
+                pool,
+                capacity,
+                labels,
+                rack,
+                zone,
+                takesTasks,
+                sequence,
+                ordersSeen,
+                active,
+                ends,
+                formerEnds,
+                lost);
+    }
+
     /** Returns whether the worker carries a label. */
     public boolean has(String label) {
         return label.isEmpty() || labels.contains(label);
--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -208,4 +208,36 @@
                 .extracting(r -> r.run().task().toString())
                 .containsExactly("a.0.0.0");
     }
+
+    @Test
+    void keepsARetryOffTheWorkerThatFailedItWhileThereIsAnother() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+        sample.worker("w2", "r1");
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.FAILED);
+
+        assertThat(sample.orders("w1").runs()).isEmpty();
+        assertThat(sample.orders("w2").runs()).hasSize(1);
+    }
+
+    @Test
+    void undoesNoMoreWorkForAnUrgentJobBeyondItsGuaranteeThanItBrings() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("batch").priority(2).step(Jobs.step(1, 8)));
+        sample.pass(60_000);
+        sample.submit(Jobs.job("urgent").priority(0).step(Jobs.step(1, 8)));
+
+        assertThat(sample.orders("w1").stops()).isEmpty();
+    }
+
+    @Test
+    void preemptsYoungWorkForAnUrgentJobBeyondItsGuarantee() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("batch").priority(2).step(Jobs.step(1, 8)));
+        sample.pass(100);
+        sample.submit(Jobs.job("urgent").priority(0).step(Jobs.step(1, 8)));
+
+        assertThat(sample.orders("w1").stops()).hasSize(1);
+    }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -24,17 +24,23 @@
  *
  * <p>Invariants: a job counts as accepted only once its row was confirmed or read back; {@code PLATFORM_UNAVAILABLE} is
  * only said when no attempt of this call can have stored the job; a job that was submitted twice with one id is one job.
- * Immutable, so safe for use by many threads.
+ * After a write went unanswered, calls first make sure that the store answers, so that they can be refused truly instead
+ * of being left in doubt. Safe for use by many threads.
  */
 public final class JobIntake {
     /** How long a call goes on trying while the store fails, in milliseconds; callers come back elsewhere. */
     static final long PATIENCE_MS = 900;
 
     private static final long RETRY_MS = 60;
+
+    /** How long a store that left a write unanswered has to answer a read, in milliseconds. */
+    private static final long PROBE_MS = 400;
+
     private static final Events EVENTS = Events.of(JobIntake.class);
 
     private final StateStore store;
     private final Clock clock;
+    private volatile boolean suspect;
 
     /** Creates an intake over a store. */
     public JobIntake(StateStore store, Clock clock) {
@@ -52,7 +58,8 @@
         Transaction tx =
                 new Transaction().expect(Tables.JOBS, job.id(), 0).write(Tables.JOBS, job.id(), RowCodec.toValue(job));
         long startMs = clock.nowMs();
-        return write(tx, Tables.JOBS, job.id(), startMs, false)
+        return answering(job.id())
+                .thenCompose(v -> write(tx, Tables.JOBS, job.id(), startMs, false))
                 .whenComplete((v, t) -> note("job-submitted", job.id(), startMs, t, "queue", job.queue()));
     }
 
@@ -86,6 +93,25 @@
         });
     }
 
+    private CompletableFuture<Void> answering(String id) {
+        if (!suspect) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return store.get(Tables.JOBS, id)
+                .orTimeout(PROBE_MS, TimeUnit.MILLISECONDS)
+                .handle((row, t) -> {
+                    if (t != null) {
+                        throw new PollenreachException(
+                                ResultCode.PLATFORM_UNAVAILABLE,
+                                null,
+                                "the store does not answer; nothing was sent",
+                                t);
+                    }
+                    suspect = false;
+                    return null;
+                });
+    }
+
     private <T> CompletableFuture<T> read(long startMs, Supplier<CompletableFuture<T>> call) {
         return call.get().exceptionallyCompose(t -> {
             if (clock.nowMs() - startMs > PATIENCE_MS) {
@@ -102,6 +128,7 @@
             if (e.code() == ResultCode.CONFLICT) {
                 return CompletableFuture.completedFuture(null);
             }
+            suspect |= e.code() == ResultCode.WRITE_UNKNOWN;
             boolean unsure = doubt || e.code() != ResultCode.PLATFORM_UNAVAILABLE;
             if (clock.nowMs() - startMs > PATIENCE_MS) {
                 return unsure ? readBack(table, key) : CompletableFuture.failedFuture(e);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/OfficeWatch.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/OfficeWatch.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.scheduler;
 
 import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 
 import io.pollenreach.Clock;
 import io.pollenreach.daemon.internal.store.RowCodec;
@@ -19,7 +20,11 @@
     /** How long one call waits, in milliseconds: about two beats, so that most calls return with one. */
     private static final long WAIT_MS = 2_000;
 
+    /** Versions to remember: a lease's length of beats, several times over. */
+    private static final int MAX_REMEMBERED = 64;
+
     private final Clock clock;
+    private final ConcurrentSkipListMap<Long, Long> seenMs = new ConcurrentSkipListMap<>();
     private final TableWatch watch;
     private volatile String holder = "";
     private volatile long termVersion;
@@ -40,6 +45,7 @@
 
     @Override
     public void snapshot(Rows rows) {
+        remember(rows.version());
         rows.rows().forEach(this::take);
         changedMs = clock.nowMs();
         known = true;
@@ -47,9 +53,31 @@
 
     @Override
     public void changes(Rows rows) {
+        remember(rows.version());
         rows.rows().forEach(this::take);
     }
 
+    private void remember(long version) {
+        seenMs.putIfAbsent(version, clock.nowMs());
+        while (seenMs.size() > MAX_REMEMBERED) {
+            seenMs.pollFirstEntry();
+        }
+    }
+
+    /**
+     * Returns a time at which a row of any table surely had been written: that of the first answer with its version or a
+     * newer one, since all tables share one counter; now when there was none.
+     */
+    long writtenBeforeMs(long version) {
+        Map.Entry<Long, Long> first = seenMs.ceilingEntry(version);
+        return first == null ? clock.nowMs() : first.getValue();
+    }
+
+    /** Tells whether the store was heard all the while. */
+    boolean healthyFor(long forMs) {
+        return watch.healthyFor(forMs);
+    }
+
     private void take(StoredRow row) {
         changedMs = clock.nowMs();
         if (row.key().equals(Tables.TERM)) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -133,7 +133,7 @@
         long taken = store.commit(tx).join();
         doubt = false;
         EVENTS.info("scheduler-in-office", "entry", self, "term", taken, "before", holder);
-        Term t = new Term(self, taken, store, guarantees, clock, leaseMs);
+        Term t = new Term(self, taken, store, office, guarantees, clock, leaseMs);
         term = t;
         try {
             t.load();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -57,6 +57,7 @@
     private final String self;
     private final long version;
     private final StateStore store;
+    private final OfficeWatch office;
     private final Supplier<Map<String, Integer>> guarantees;
     private final Clock clock;
     private final long lostAfterMs;
@@ -72,12 +73,14 @@
             String self,
             long version,
             StateStore store,
+            OfficeWatch office,
             Supplier<Map<String, Integer>> guarantees,
             Clock clock,
             long leaseMs) {
         this.self = self;
         this.version = version;
         this.store = store;
+        this.office = office;
         this.guarantees = guarantees;
         this.clock = clock;
         lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_SLACK_MS;
@@ -100,7 +103,7 @@
         loadJobs(jobs.join(), progress.join(), nowMs);
         Map<String, StoredRow> ordersByAgent = new HashMap<>();
         orders.forEach(o -> o.join().rows().forEach(r -> ordersByAgent.put(r.key(), r)));
-        workers.join().rows().forEach(r -> loadWorker(r, ordersByAgent, nowMs));
+        workers.join().rows().forEach(r -> loadWorker(r, ordersByAgent));
         book.restored(nowMs);
         follow(Tables.JOBS, jobs.join().version(), this::acceptJob);
         follow(Tables.CANCELS, cancels.join().version(), r -> book.cancel(r.key(), clock.nowMs()));
@@ -133,13 +136,18 @@
         }
     }
 
-    private void loadWorker(StoredRow row, Map<String, StoredRow> ordersByAgent, long nowMs) {
+    private void loadWorker(StoredRow row, Map<String, StoredRow> ordersByAgent) {
         RowCodec.fromRow(row, WorkerReport.class).ifPresent(report -> {
             StoredRow orders = ordersByAgent.get(report.agent());
             WorkOrders known = orders == null
                     ? WorkOrders.none(report.life())
                     : RowCodec.fromRow(orders, WorkOrders.class).orElse(WorkOrders.none(report.life()));
-            book.restore(report, row.version(), known, orders == null ? 0 : orders.version(), nowMs);
+            book.restore(
+                    report,
+                    row.version(),
+                    known,
+                    orders == null ? 0 : orders.version(),
+                    office.writtenBeforeMs(row.version()));
         });
     }
 
@@ -194,7 +202,7 @@
     }
 
     private void loseSilentWorkers(long nowMs) throws InterruptedException {
-        if (!workersWatch.healthyFor(RETURN_MS)) {
+        if (!office.healthyFor(RETURN_MS) || !workersWatch.healthyFor(0)) {
             return;
         }
         for (WorkerReport report : book.silentFor(lostAfterMs, nowMs)) {
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Claims.java
@@ -0,0 +1,86 @@
+package io.pollenreach.daemon.internal.work;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.StateStore;
+import io.pollenreach.daemon.internal.store.StoredRow;
+import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.daemon.internal.store.Transaction;
+import io.pollenreach.internal.batch.RunEnd;
+import io.pollenreach.internal.batch.WorkerReport;
+
+/**
+ * Registers workers in the store under fencing tokens that rise.
+ *
+ * <p>Immutable, so safe for use by many threads.
+ */
+final class Claims {
+    private static final Events EVENTS = Events.of(Claims.class);
+
+    private final String agent;
+    private final StateStore store;
+
+    Claims(String agent, StateStore store) {
+        this.agent = agent;
+        this.store = store;
+    }
+
+    /** Returns what the store has of this agent. */
+    CompletableFuture<Optional<StoredRow>> stored() {
+        return store.get(Tables.WORKERS, agent);
+    }
+
+    /** Reads a report from its row. */
+    static Optional<WorkerReport> report(Optional<StoredRow> row) {
+        return row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class));
+    }
+
+    /** Claims a worker: goes on with its life when the store has it under the same process, else begins a new one. */
+    CompletableFuture<Life> claim(RunnerFacts worker) {
+        return stored().thenCompose(row -> claim(worker, row));
+    }
+
+    private CompletableFuture<Life> claim(RunnerFacts worker, Optional<StoredRow> row) {
+        long before = row.map(StoredRow::version).orElse(0L);
+        Optional<WorkerReport> known = report(row);
+        Optional<WorkerReport> same =
+                known.filter(r -> !r.lost() && r.instance().equals(worker.instance()) && r.bornMs() == worker.bornMs());
+        String id = same.map(WorkerReport::life).orElse(worker.instance() + "@" + worker.bornMs() + "/" + before);
+        List<RunEnd> former = known.map(r -> formerEnds(r, same.isPresent())).orElse(List.of());
+        long sequence = same.map(WorkerReport::sequence).orElse(0L) + 1;
+        WorkerReport claim = worker.report(agent, id, false, sequence)
+                .withRuns(
+                        same.map(WorkerReport::ordersSeen).orElse(0L),
+                        same.map(WorkerReport::active).orElse(List.of()),
+                        same.map(WorkerReport::ends).orElse(List.of()),
+                        former);
+        Transaction tx = new Transaction()
+                .expect(Tables.WORKERS, agent, before)
+                .write(Tables.WORKERS, agent, RowCodec.toValue(claim));
+        return store.commit(tx).thenApply(version -> {
+            EVENTS.info("worker-claimed", "life", id, "token", version, "continued", same.isPresent());
+            return new Life(worker, version, claim);
+        });
+    }
+
+    // They were acknowledged to the worker, so this row is the only place that has them.
+    private static List<RunEnd> formerEnds(WorkerReport before, boolean sameLife) {
+        List<RunEnd> all = new ArrayList<>(before.formerEnds());
+        if (!sameLife) {
+            before.ends().stream().filter(e -> e.number() > 0).forEach(all::add);
+        }
+        return all;
+    }
+
+    /** Writes a report that follows the row's version. */
+    CompletableFuture<Long> write(long rowVersion, WorkerReport report) {
+        return store.commit(new Transaction()
+                .expect(Tables.WORKERS, agent, rowVersion)
+                .write(Tables.WORKERS, agent, RowCodec.toValue(report)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Life.java
@@ -0,0 +1,70 @@
+package io.pollenreach.daemon.internal.work;
+
+import java.util.List;
+
+import io.pollenreach.daemon.internal.store.TableWatch;
+import io.pollenreach.internal.batch.RunEnd;
+import io.pollenreach.internal.batch.WorkerReport;
+
+/**
+ * One registration of one worker process; what belongs to an older one is dropped.
+ *
+ * <p>Not safe for use by many threads: the agent's thread owns it.
+ */
+final class Life {
+    final RunnerFacts worker;
+    final String id;
+    final long token;
+    final LocalRuns runs = new LocalRuns();
+    /** Ends of earlier lives that the scheduler may not have read. */
+    List<RunEnd> formerEnds;
+    /** The store's version of this agent's row, on which the next report depends. */
+    long rowVersion;
+
+    long sequence;
+    /** The version of the newest orders; 0 before any were read. */
+    long ordersSeen;
+
+    TableWatch watch;
+    /** Whether the worker runs nothing that this agent does not account for. */
+    boolean settled;
+
+    boolean looking;
+    boolean reporting;
+    boolean reportSoon = true;
+    long reportedMs;
+    long reportNotBeforeMs;
+    long lookedMs;
+    /** The worker's clock at the last look, in milliseconds. */
+    long runnerClockMs;
+    /** The end of the lease on the worker's clock, in milliseconds; 0 for none. */
+    long leaseUntilMs;
+    /** The number of the newest end that the store has. */
+    long endsStored;
+
+    Life(RunnerFacts worker, long token, WorkerReport claim) {
+        this.worker = worker;
+        this.token = token;
+        id = claim.life();
+        sequence = claim.sequence();
+        formerEnds = claim.formerEnds();
+        rowVersion = token;
+        runs.restoreEnds(claim.ends());
+    }
+
+    TaskRunner.Authority authority() {
+        return new TaskRunner.Authority(worker.instance(), token);
+    }
+
+    /** Tells whether the worker process has ended and none has followed. */
+    boolean vacant() {
+        return worker.instance().isEmpty();
+    }
+
+    /** Writes the next report. */
+    WorkerReport nextReport(String agent, RunnerFacts newest) {
+        RunnerFacts w = newest.sameProcess(worker) ? newest : worker;
+        boolean takesTasks = settled && !newest.draining();
+        return w.report(agent, id, takesTasks, ++sequence).withRuns(ordersSeen, runs.active(), runs.ends(), formerEnds);
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
@@ -33,6 +33,7 @@
     private static final class Run {
         private final WorkOrders.OrderedRun order;
         private Status status = Status.NEW;
+        private int attempts;
         private long retryMs;
         private int missedLooks;
 
@@ -42,10 +43,17 @@
     }
 
     private static final class Stopping {
+        /** Whether the scheduler still orders the run and must hear that it never will run. */
+        private final boolean abandoned;
+
         private boolean sending;
         private boolean confirmed;
         private long confirmedMs;
         private long retryMs;
+
+        Stopping(boolean abandoned) {
+            this.abandoned = abandoned;
+        }
     }
 
     /** Looks without a run, after its start was confirmed, that show it to be gone. */
@@ -76,7 +84,8 @@
         Set<TaskRun> wanted = new LinkedHashSet<>();
         for (WorkOrders.OrderedRun r : orders.runs()) {
             wanted.add(r.run());
-            if (!over.contains(r.run()) && !ordered.containsKey(r.run())) {
+            boolean known = over.contains(r.run()) || ordered.containsKey(r.run()) || stopping.containsKey(r.run());
+            if (!known) {
                 ordered.put(r.run(), new Run(r));
                 changed = true;
             }
@@ -102,7 +111,7 @@
     }
 
     private boolean addStop(TaskRun run) {
-        return stopping.putIfAbsent(run, new Stopping()) == null;
+        return stopping.putIfAbsent(run, new Stopping(false)) == null;
     }
 
     /** Takes what the worker says; tells whether there is something to report at once. */
@@ -125,17 +134,33 @@
                 changed |= addStop(r);
             }
         }
-        changed |= stopping.entrySet()
-                .removeIf(s -> s.getValue().confirmed
-                        && sentMs > s.getValue().confirmedMs
-                        && !running.containsKey(s.getKey()));
+        changed |= dropFinishedStops(sentMs);
         for (Map.Entry<TaskRun, Run> r : List.copyOf(ordered.entrySet())) {
             changed |= missing(r.getKey(), r.getValue());
         }
         return changed;
     }
 
+    private boolean dropFinishedStops(long sentMs) {
+        boolean changed = false;
+        for (Map.Entry<TaskRun, Stopping> s : List.copyOf(stopping.entrySet())) {
+            boolean gone =
+                    s.getValue().confirmed && sentMs > s.getValue().confirmedMs && !running.containsKey(s.getKey());
+            if (gone) {
+                stopping.remove(s.getKey());
+                changed = true;
+                if (s.getValue().abandoned) {
+                    noteRefusal(s.getKey());
+                }
+            }
+        }
+        return changed;
+    }
+
     private boolean missing(TaskRun id, Run run) {
+        if (running.containsKey(id)) {
+            run.status = Status.RUNNING;
+        }
         if (run.status != Status.RUNNING || running.containsKey(id)) {
             run.missedLooks = 0;
             return false;
@@ -144,7 +169,8 @@
         if (run.missedLooks < LOOKS_TO_MISS) {
             return false;
         }
-        refuse(id);
+        ordered.remove(id);
+        noteRefusal(id);
         return true;
     }
 
@@ -154,6 +180,7 @@
         for (Run r : ordered.values()) {
             if (r.status == Status.NEW && r.retryMs <= nowMs) {
                 r.status = Status.STARTING;
+                r.attempts++;
                 due.add(r.order);
             }
         }
@@ -188,12 +215,22 @@
         }
     }
 
-    /** Notes that a run surely does not run and never will. */
-    void refuse(TaskRun run) {
-        if (ordered.remove(run) != null) {
-            refusals.put(run, new RunEnd(0, run, EndKind.REFUSED, ""));
-            over.add(run);
+    /** Gives up on starting a run; one that an earlier, unanswered order may yet start is stopped first. */
+    void abandon(TaskRun run) {
+        Run r = ordered.remove(run);
+        if (r == null) {
+            return;
         }
+        if (r.attempts > 1) {
+            stopping.put(run, new Stopping(true));
+        } else {
+            noteRefusal(run);
+        }
+    }
+
+    private void noteRefusal(TaskRun run) {
+        refusals.put(run, new RunEnd(0, run, EndKind.REFUSED, ""));
+        over.add(run);
     }
 
     void stopped(TaskRun run, long nowMs) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/RunnerFacts.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/RunnerFacts.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.pollenreach.internal.batch.Resources;
+import io.pollenreach.internal.batch.WorkerReport;
 
 /**
  * What a worker process says of itself.
@@ -33,6 +34,33 @@
         labels = List.copyOf(labels);
     }
 
+    /** Returns what an earlier process of the agent reported; the next announcement tells whether it drains. */
+    static RunnerFacts of(WorkerReport r) {
+        return new RunnerFacts(
+                r.instance(), r.bornMs(), 0, r.pool(), r.zone(), !r.takesTasks(), r.capacity(), r.labels(), r.rack());
+    }
+
+    /** Begins a report of the worker; it names no runs. */
+    WorkerReport report(String agent, String life, boolean takesTasks, long sequence) {
+        return new WorkerReport(
+                agent,
+                life,
+                instance,
+                bornMs,
+                pool,
+                capacity,
+                labels,
+                rack,
+                zone,
+                takesTasks,
+                sequence,
+                0,
+                List.of(),
+                List.of(),
+                List.of(),
+                false);
+    }
+
     boolean sameProcess(RunnerFacts o) {
         return instance.equals(o.instance) && bornMs == o.bornMs;
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
@@ -1,12 +1,9 @@
 package io.pollenreach.daemon.internal.work;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.pollenreach.Clock;
@@ -19,13 +16,9 @@
 import io.pollenreach.daemon.internal.store.StoredRow;
 import io.pollenreach.daemon.internal.store.TableWatch;
 import io.pollenreach.daemon.internal.store.Tables;
-import io.pollenreach.daemon.internal.store.Transaction;
 import io.pollenreach.internal.batch.Resources;
-import io.pollenreach.internal.batch.RunEnd;
-import io.pollenreach.internal.batch.RunningTask;
 import io.pollenreach.internal.batch.TaskRun;
 import io.pollenreach.internal.batch.WorkOrders;
-import io.pollenreach.internal.batch.WorkerReport;
 
 /**
  * The agent of one worker.
@@ -36,15 +29,9 @@
  * of earlier processes and lives are void. All state belongs to one thread. Safe for use by many threads.
  */
 public final class WorkAgent implements AutoCloseable {
-    /** Longest pause between reports, in milliseconds: a worker must outlast a store that is away for five seconds. */
-    static final long REPORT_MS = 1_000;
-
     /** How long the worker waits for an end before it answers a look, in milliseconds; half a report's period. */
     private static final long LOOK_WAIT_MS = 500;
 
-    /** A look that gave no answer this long ago says nothing of the worker any more, in milliseconds. */
-    private static final long STALE_LOOK_MS = 1_500;
-
     /** The shortest lease with which an order to start is worth sending, in milliseconds. */
     private static final long MIN_LEASE_MS = 500;
 
@@ -58,49 +45,16 @@
 
     private final String name;
     private final StateStore store;
+    private final Claims claims;
     private final TaskRunner runner;
     private final Clock clock;
-    private final long leaseMs;
+    private final Reporter reporter;
     private final ScheduledThreadPoolExecutor thread;
     private RunnerFacts facts;
     private Life life;
     private boolean claiming;
     private volatile boolean closed;
 
-    /** One registration of one worker process; what belongs to an older one is dropped. */
-    private static final class Life {
-        private final RunnerFacts worker;
-        private final String id;
-        private final long token;
-        private final LocalRuns runs = new LocalRuns();
-        private long rowVersion;
-        private long sequence;
-        private long ordersSeen;
-        private TableWatch watch;
-        private boolean settled;
-        private boolean reporting;
-        private boolean reportSoon = true;
-        private long reportedMs;
-        private long reportNotBeforeMs;
-        private long lookedMs;
-        private long runnerClockMs;
-        private long leaseUntilMs;
-        private long endsStored;
-        private boolean looking;
-        private List<RunEnd> formerEnds = List.of();
-
-        Life(RunnerFacts worker, String id, long token) {
-            this.worker = worker;
-            this.id = id;
-            this.token = token;
-            rowVersion = token;
-        }
-
-        TaskRunner.Authority authority() {
-            return new TaskRunner.Authority(worker.instance(), token);
-        }
-    }
-
     /**
      * Creates an agent that does nothing yet.
      *
@@ -113,15 +67,16 @@
     public WorkAgent(String name, StateStore store, TaskRunner runner, Clock clock, long leaseMs) {
         this.name = name;
         this.store = store;
+        claims = new Claims(name, store);
         this.runner = runner;
         this.clock = clock;
-        this.leaseMs = leaseMs;
         thread = new ScheduledThreadPoolExecutor(1, r -> {
             Thread t = new Thread(r, "work-agent");
             t.setDaemon(true);
             return t;
         });
         thread.setRemoveOnCancelPolicy(true);
+        reporter = new Reporter(name, claims, clock, leaseMs, r -> thread.execute(() -> guarded(r)), new Host());
     }
 
     /** Starts, and goes on with the worker that an earlier process of this agent looked after. */
@@ -131,7 +86,7 @@
     }
 
     private void resume() {
-        store.get(Tables.WORKERS, name).whenCompleteAsync(this::resumeWith, thread);
+        claims.stored().whenCompleteAsync(this::resumeWith, thread);
     }
 
     private void resumeWith(Optional<StoredRow> row, Throwable t) {
@@ -142,21 +97,10 @@
             later(this::resume);
             return;
         }
-        row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class))
-                .filter(r -> !r.instance().isEmpty())
-                .ifPresent(r -> {
-                    facts = new RunnerFacts(
-                            r.instance(),
-                            r.bornMs(),
-                            0,
-                            r.pool(),
-                            r.zone(),
-                            !r.takesTasks(),
-                            r.capacity(),
-                            r.labels(),
-                            r.rack());
-                    claim();
-                });
+        Claims.report(row).filter(r -> !r.instance().isEmpty()).ifPresent(r -> {
+            facts = RunnerFacts.of(r);
+            claim();
+        });
     }
 
     /** Takes a worker's announcement of itself. */
@@ -183,16 +127,7 @@
                     "old-announcement", "instance", heard.instance(), "born", heard.bornMs(), "known", facts.bornMs());
             return;
         }
-        EVENTS.info(
-                "worker-announced",
-                "instance",
-                heard.instance(),
-                "born",
-                heard.bornMs(),
-                "pool",
-                heard.pool(),
-                "rack",
-                heard.rack());
+        EVENTS.info("worker-announced", "worker", heard);
         facts = heard;
         claim();
     }
@@ -216,14 +151,13 @@
         claiming = true;
         drop();
         RunnerFacts worker = facts;
-        store.get(Tables.WORKERS, name)
-                .thenCompose(row -> claim(worker, row))
+        claims.claim(worker)
                 .whenCompleteAsync(
                         (claimed, t) -> guarded(() -> {
                             claiming = false;
                             if (t != null) {
                                 PollenreachException e = PollenreachException.of(t);
-                                EVENTS.warn("claim-failed", "code", e.code().number(), "error", e.getMessage());
+                                warn("claim-failed", "instance", worker.instance(), e);
                                 later(this::claim);
                             } else if (!worker.sameProcess(facts)) {
                                 claim();
@@ -234,73 +168,6 @@
                         thread);
     }
 
-    private CompletableFuture<Life> claim(RunnerFacts worker, Optional<StoredRow> row) {
-        long before = row.map(StoredRow::version).orElse(0L);
-        Optional<WorkerReport> same = row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class))
-                .filter(r -> !r.lost() && r.instance().equals(worker.instance()) && r.bornMs() == worker.bornMs());
-        String id = same.map(WorkerReport::life).orElse(worker.instance() + "@" + worker.bornMs() + "/" + before);
-        List<RunEnd> former = row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class))
-                .map(r -> formerEnds(r, same.isPresent()))
-                .orElse(List.of());
-        WorkerReport report = report(
-                worker,
-                id,
-                false,
-                former,
-                same.map(WorkerReport::sequence).orElse(0L) + 1,
-                same.map(WorkerReport::ordersSeen).orElse(0L),
-                same.map(WorkerReport::active).orElse(List.of()),
-                same.map(WorkerReport::ends).orElse(List.of()));
-        Transaction tx = new Transaction()
-                .expect(Tables.WORKERS, name, before)
-                .write(Tables.WORKERS, name, RowCodec.toValue(report));
-        return store.commit(tx).thenApply(version -> {
-            Life claimed = new Life(worker, id, version);
-            claimed.sequence = report.sequence();
-            claimed.runs.restoreEnds(report.ends());
-            claimed.formerEnds = former;
-            EVENTS.info("worker-claimed", "life", id, "token", version, "continued", same.isPresent());
-            return claimed;
-        });
-    }
-
-    // They were acknowledged to the worker, so this row is the only place that has them.
-    private static List<RunEnd> formerEnds(WorkerReport before, boolean sameLife) {
-        List<RunEnd> all = new ArrayList<>(before.formerEnds());
-        if (!sameLife) {
-            before.ends().stream().filter(e -> e.number() > 0).forEach(all::add);
-        }
-        return all;
-    }
-
-    private WorkerReport report(
-            RunnerFacts worker,
-            String id,
-            boolean takesTasks,
-            List<RunEnd> formerEnds,
-            long sequence,
-            long ordersSeen,
-            List<RunningTask> active,
-            List<RunEnd> ends) {
-        return new WorkerReport(
-                name,
-                id,
-                worker.instance(),
-                worker.bornMs(),
-                worker.pool(),
-                worker.capacity(),
-                worker.labels(),
-                worker.rack(),
-                worker.zone(),
-                takesTasks,
-                sequence,
-                ordersSeen,
-                active,
-                ends,
-                formerEnds,
-                false);
-    }
-
     private void drop() {
         if (life != null && life.watch != null) {
             life.watch.close();
@@ -355,15 +222,15 @@
         if (changed) {
             act(l);
         }
-        reportWhenDue(l);
+        reporter.reportWhenDue(l);
     }
 
     private void look(Life l) {
-        if (l != life || l.looking || closed || l.worker.instance().isEmpty()) {
-            if (l == life && l.worker.instance().isEmpty()) {
-                l.reportSoon = true;
-                reportWhenDue(l);
-            }
+        if (l != life || l.looking || closed) {
+            return;
+        }
+        if (l.vacant()) {
+            reporter.reportWhenDue(l);
             return;
         }
         l.looking = true;
@@ -384,12 +251,7 @@
             return;
         }
         if (view.bornMs().isPresent() && view.bornMs().get() != l.worker.bornMs()) {
-            EVENTS.info(
-                    "worker-reborn",
-                    "instance",
-                    l.worker.instance(),
-                    "born",
-                    view.bornMs().get());
+            EVENTS.info("worker-reborn", "life", l.id, "born", view.bornMs().get());
             later(() -> look(l));
             return;
         }
@@ -404,7 +266,7 @@
             l.settled = true;
             l.reportSoon = true;
         }
-        reportWhenDue(l);
+        reporter.reportWhenDue(l);
         act(l);
         if (l.runs.newestEnd() > l.endsStored) {
             // The worker answers at once while it has ends to list, until the store has them.
@@ -415,8 +277,7 @@
     }
 
     private void lookFailed(Life l, PollenreachException e) {
-        EVENTS.warn(
-                "look-failed", "instance", l.worker.instance(), "code", e.code().number(), "error", e.getMessage());
+        warn("look-failed", "instance", l.worker.instance(), e);
         if (e.code() == ResultCode.STALE_ATTEMPT) {
             claim();
             return;
@@ -434,7 +295,7 @@
         }
         for (WorkOrders.OrderedRun order : l.runs.toStart(nowMs)) {
             if (facts.draining()) {
-                l.runs.refuse(order.run());
+                l.runs.abandon(order.run());
                 l.reportSoon = true;
                 continue;
             }
@@ -449,16 +310,7 @@
         }
         if (t != null) {
             PollenreachException e = PollenreachException.of(t);
-            EVENTS.warn(
-                    "start-unanswered",
-                    "task",
-                    run.task(),
-                    "run",
-                    run.run(),
-                    "code",
-                    e.code().number(),
-                    "error",
-                    e.getMessage());
+            warn("start-unanswered", "run", run, e);
             if (e.code() == ResultCode.STALE_ATTEMPT) {
                 claim();
                 return;
@@ -475,11 +327,11 @@
                 l.reportSoon = true;
             }
             default -> {
-                l.runs.refuse(run);
+                l.runs.abandon(run);
                 l.reportSoon = true;
             }
         }
-        reportWhenDue(l);
+        reporter.reportWhenDue(l);
     }
 
     private void stopped(Life l, TaskRun run, Throwable t) {
@@ -492,16 +344,7 @@
             return;
         }
         PollenreachException e = PollenreachException.of(t);
-        EVENTS.warn(
-                "stop-unanswered",
-                "task",
-                run.task(),
-                "run",
-                run.run(),
-                "code",
-                e.code().number(),
-                "error",
-                e.getMessage());
+        warn("stop-unanswered", "run", run, e);
         if (e.code() == ResultCode.STALE_ATTEMPT) {
             claim();
             return;
@@ -517,148 +360,59 @@
         if (l.runs.waitsToSend()) {
             act(l);
         }
-        reportWhenDue(l);
+        reporter.reportWhenDue(l);
     }
 
     private void reportNow() {
         if (life != null) {
             life.reportSoon = true;
-            reportWhenDue(life);
+            reporter.reportWhenDue(life);
         }
     }
 
-    private void reportWhenDue(Life l) {
-        long nowMs = clock.nowMs();
-        boolean left = l.worker.instance().isEmpty();
-        boolean heardOfWorker = left || l.lookedMs > 0 && nowMs - l.lookedMs < STALE_LOOK_MS;
-        boolean due = l.reportSoon || !left && nowMs - l.reportedMs >= REPORT_MS;
-        boolean held = l.reporting || nowMs < l.reportNotBeforeMs;
-        if (held || l.ordersSeen == 0 || !due || !heardOfWorker || closed) {
-            return;
-        }
-        l.reporting = true;
-        l.reportSoon = false;
-        l.reportedMs = nowMs;
-        send(
-                l,
-                new Draft(
-                        report(
-                                facts.sameProcess(l.worker) ? facts : l.worker,
-                                l.id,
-                                l.settled && !facts.draining(),
-                                l.formerEnds,
-                                ++l.sequence,
-                                l.ordersSeen,
-                                l.runs.active(),
-                                l.runs.ends()),
-                        l.runnerClockMs,
-                        l.runs.newestEnd()));
+    private static void warn(String event, String key, Object value, PollenreachException e) {
+        EVENTS.warn(event, key, value, "code", e.code().number(), "error", e.getMessage());
     }
 
-    /** A report, with what may be done once the store has it. Immutable. */
-    private record Draft(WorkerReport report, long runnerClockMs, long newestEnd) {}
-
-    private void send(Life l, Draft draft) {
-        Transaction tx = new Transaction()
-                .expect(Tables.WORKERS, name, l.rowVersion)
-                .write(Tables.WORKERS, name, RowCodec.toValue(draft.report()));
-        store.commit(tx).whenCompleteAsync((v, t) -> guarded(() -> sent(l, draft, v, t)), thread);
-    }
-
-    private void sent(Life l, Draft draft, Long version, Throwable t) {
-        if (l != life) {
-            return;
-        }
-        if (t == null) {
-            confirmed(l, draft, version);
-            return;
-        }
-        PollenreachException e = PollenreachException.of(t);
-        EVENTS.warn(
-                "report-failed",
-                "sequence",
-                draft.report().sequence(),
-                "code",
-                e.code().number(),
-                "error",
-                e.getMessage());
-        if (e.code() == ResultCode.PLATFORM_UNAVAILABLE) {
-            l.reporting = false;
-            l.reportSoon = true;
-            // Agents that are refused together must not come back together.
-            l.reportNotBeforeMs = clock.nowMs() + ThreadLocalRandom.current().nextLong(RETRY_MS, 3 * RETRY_MS);
-            return;
+    private void later(Runnable work) {
+        if (!closed) {
+            thread.schedule(() -> guarded(work), RETRY_MS, TimeUnit.MILLISECONDS);
         }
-        later(() -> readBack(l, draft));
     }
 
-    private void confirmed(Life l, Draft draft, long version) {
-        l.rowVersion = version;
-        l.reporting = false;
-        l.leaseUntilMs = Math.max(l.leaseUntilMs, draft.runnerClockMs() + leaseMs);
-        l.endsStored = Math.max(l.endsStored, draft.newestEnd());
-        act(l);
-        reportWhenDue(l);
+    private void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            EVENTS.warn("agent-failed", "error", String.valueOf(e), "at", e.getStackTrace()[0]);
+        }
     }
 
-    private void readBack(Life l, Draft draft) {
-        if (l != life) {
-            return;
+    /** What the reporter needs of this agent. */
+    private final class Host implements Reporter.Host {
+        @Override
+        public boolean isCurrent(Life l) {
+            return l == life && !closed;
         }
-        store.get(Tables.WORKERS, name)
-                .whenCompleteAsync(
-                        (row, t) -> guarded(() -> {
-                            if (l != life) {
-                                return;
-                            }
-                            if (t != null) {
-                                later(() -> readBack(l, draft));
-                                return;
-                            }
-                            compare(l, draft, row);
-                        }),
-                        thread);
-    }
 
-    private void compare(Life l, Draft draft, Optional<StoredRow> row) {
-        long version = row.map(StoredRow::version).orElse(0L);
-        if (version == l.rowVersion) {
-            // Not written, or not yet: a late write would then meet a newer version and fail.
-            l.reporting = false;
-            l.reportSoon = true;
-            return;
+        @Override
+        public RunnerFacts newestFacts() {
+            return facts;
         }
-        Optional<WorkerReport> stored = row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class));
-        boolean mine = stored.map(r -> !r.lost()
-                        && r.life().equals(l.id)
-                        && r.sequence() == draft.report().sequence())
-                .orElse(false);
-        if (mine) {
-            confirmed(l, draft, version);
-            return;
+
+        @Override
+        public void stored(Life l) {
+            act(l);
         }
-        EVENTS.warn(
-                "claim-lost",
-                "life",
-                l.id,
-                "lost",
-                stored.map(WorkerReport::lost).orElse(false),
-                "version",
-                version);
-        claim();
-    }
 
-    private void later(Runnable work) {
-        if (!closed) {
-            thread.schedule(() -> guarded(work), RETRY_MS, TimeUnit.MILLISECONDS);
+        @Override
+        public void claimLost() {
+            claim();
         }
-    }
 
-    private void guarded(Runnable work) {
-        try {
-            work.run();
-        } catch (RuntimeException e) {
-            EVENTS.warn("agent-failed", "error", String.valueOf(e), "at", e.getStackTrace()[0]);
+        @Override
+        public void later(Runnable work) {
+            WorkAgent.this.later(work);
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
@@ -0,0 +1,143 @@
+package io.pollenreach.daemon.internal.work;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+import io.pollenreach.internal.batch.EndKind;
+import io.pollenreach.internal.batch.RunEnd;
+import io.pollenreach.internal.batch.RunningTask;
+import io.pollenreach.internal.batch.TaskId;
+import io.pollenreach.internal.batch.TaskRun;
+import io.pollenreach.internal.batch.WorkOrders;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LocalRunsTest {
+    private static final TaskRun RUN = new TaskRun(TaskId.of("a.0.0.0"), 1);
+
+    private final LocalRuns runs = new LocalRuns();
+
+    private static WorkOrders orders(TaskRun... wanted) {
+        List<WorkOrders.OrderedRun> list = Arrays.stream(wanted)
+                .map(r -> new WorkOrders.OrderedRun(r, "payload", ""))
+                .toList();
+        return new WorkOrders("life", list, List.of(), 0);
+    }
+
+    private void look(List<RunningTask> running, List<RunEnd> ends, long sentMs) {
+        runs.take(new TaskRunner.RunnerView(0, Optional.empty(), running, ends), sentMs);
+    }
+
+    private static RunningTask running(TaskRun run) {
+        return new RunningTask(run, "", 10);
+    }
+
+    @Test
+    void reportsAnOrderedRunAsActiveFromItsOrderOn() {
+        runs.take(orders(RUN));
+
+        assertThat(runs.active()).extracting(RunningTask::run).containsExactly(RUN);
+        assertThat(runs.toStart(0)).hasSize(1);
+        assertThat(runs.toStart(0)).isEmpty();
+    }
+
+    // An agent that restarts while its worker drains would otherwise say of a run at work that it never will run.
+    @Test
+    void neverRefusesARunThatIsAtWork() {
+        runs.take(orders(RUN));
+        look(List.of(running(RUN)), List.of(), 1);
+
+        assertThat(runs.toStart(5)).isEmpty();
+        assertThat(runs.ends()).isEmpty();
+    }
+
+    @Test
+    void stopsARunThatAnUnansweredOrderMayYetStartBeforeItRefusesIt() {
+        runs.take(orders(RUN));
+        runs.toStart(0);
+        runs.startFailed(RUN, 1);
+        runs.toStart(1);
+
+        runs.abandon(RUN);
+
+        assertThat(runs.ends()).isEmpty();
+        assertThat(runs.active()).hasSize(1);
+        assertThat(runs.toStop(2)).containsExactly(RUN);
+        runs.stopped(RUN, 3);
+        look(List.of(), List.of(), 4);
+        assertThat(runs.active()).isEmpty();
+        assertThat(runs.ends()).extracting(RunEnd::kind).containsExactly(EndKind.REFUSED);
+    }
+
+    @Test
+    void refusesAtOnceARunThatWasNeverOrdered() {
+        runs.take(orders(RUN));
+        runs.toStart(0);
+
+        runs.abandon(RUN);
+
+        assertThat(runs.ends()).extracting(RunEnd::kind).containsExactly(EndKind.REFUSED);
+        assertThat(runs.active()).isEmpty();
+    }
+
+    @Test
+    void keepsAStoppedRunActiveUntilALaterLookNoLongerShowsIt() {
+        runs.take(orders(RUN));
+        runs.toStart(0);
+        runs.started(RUN);
+        look(List.of(running(RUN)), List.of(), 1);
+
+        runs.take(orders());
+        assertThat(runs.toStop(2)).containsExactly(RUN);
+        runs.stopped(RUN, 3);
+        look(List.of(), List.of(), 2);
+        assertThat(runs.active()).hasSize(1);
+        look(List.of(), List.of(), 4);
+        assertThat(runs.active()).isEmpty();
+    }
+
+    @Test
+    void reportsAnEndUntilTheSchedulerHasTakenIt() {
+        runs.take(orders(RUN));
+        look(List.of(), List.of(new RunEnd(1, RUN, EndKind.DONE, "")), 1);
+        assertThat(runs.ends()).hasSize(1);
+        assertThat(runs.newestEnd()).isEqualTo(1);
+
+        runs.take(new WorkOrders("life", List.of(), List.of(), 1));
+
+        assertThat(runs.ends()).isEmpty();
+    }
+
+    @Test
+    void doesNotStartAgainARunThatEnded() {
+        runs.take(orders(RUN));
+        look(List.of(), List.of(new RunEnd(1, RUN, EndKind.DONE, "")), 1);
+
+        runs.take(orders(RUN));
+
+        assertThat(runs.toStart(10)).isEmpty();
+    }
+
+    @Test
+    void stopsWhatNobodyOrdered() {
+        look(List.of(running(RUN)), List.of(), 1);
+
+        assertThat(runs.toStop(2)).containsExactly(RUN);
+        assertThat(runs.active()).hasSize(1);
+    }
+
+    @Test
+    void tellsThatAStartedRunIsGoneAfterTwoLooksWithoutIt() {
+        runs.take(orders(RUN));
+        runs.toStart(0);
+        runs.started(RUN);
+
+        look(List.of(), List.of(), 1);
+        assertThat(runs.ends()).isEmpty();
+        look(List.of(), List.of(), 2);
+
+        assertThat(runs.ends()).extracting(RunEnd::kind).containsExactly(EndKind.REFUSED);
+    }
+}
