Count ends of runs that were done before their stop came

Ruled out: a late order (run 2 was placed anew). Change: an end of the newest run counts until the task is placed again; one failure a gang's run.

--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -212,7 +212,9 @@
 
     private void awaitAgain(JobProgress job, TaskProgress t, long nowMs) {
         if (!job.spec(t.id()).gang()) {
-            t.await(nowMs);
+            if (t.state() == TaskProgress.State.PLACED) {
+                t.await(nowMs);
+            }
             return;
         }
         for (TaskProgress m : job.step(t.id())) {
@@ -230,7 +232,7 @@
         TaskRun run = end.run();
         JobProgress job = jobs.get(run.task().job());
         TaskProgress t = job == null ? null : job.find(run.task()).orElse(null);
-        boolean current = t != null && t.at(w.name(), run.run());
+        boolean current = t != null && (t.at(w.name(), run.run()) || t.awaitsEndOf(run.run()));
         if (end.kind() != EndKind.REFUSED || current) {
             log.note(
                     "run-ended",
@@ -293,7 +295,7 @@
     private void fail(WorkerBook w, JobProgress job, TaskProgress t, long nowMs) {
         StepSpec spec = job.spec(t.id());
         List<TaskProgress> failed = spec.gang() ? job.step(t.id()) : List.of(t);
-        failed.forEach(TaskProgress::fail);
+        failed.forEach(m -> m.fail(w.name()));
         w.health().failed(t.id(), nowMs);
         if (!spec.longRunning() && t.failures() >= job.job().maxAttempts()) {
             end(job, JobPhase.FAILED, nowMs);
--- a/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
@@ -18,6 +18,7 @@
     private State state = State.WAITING;
     private int run;
     private int failures;
+    private int failedRun;
     private String worker = "";
     private String checkpoint = "";
     private String failedOn = "";
@@ -100,6 +101,14 @@
         return state == State.PLACED && run == number && worker.equals(name);
     }
 
+    /**
+     * Tells whether the end of a run still counts though it was told to stop: it may have finished before the stop came,
+     * and the task is not placed again before its worker has listed the end.
+     */
+    boolean awaitsEndOf(int number) {
+        return state == State.WAITING && run == number;
+    }
+
     void place(String name, int number, long nowMs) {
         state = State.PLACED;
         worker = name;
@@ -122,9 +131,13 @@
         notBeforeMs = untilMs;
     }
 
-    void fail() {
-        failures++;
-        failedOn = worker;
+    /** Counts a failure; several members of a gang may list one for the same run. */
+    void fail(String name) {
+        if (failedRun != run) {
+            failures++;
+            failedRun = run;
+        }
+        failedOn = name;
     }
 
     void save(String saved) {
--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -240,4 +240,40 @@
 
         assertThat(sample.orders("w1").stops()).hasSize(1);
     }
+
+    // The bench found a second run on trouble-2 of rqt-pollen: the task was done before the order to stop it came.
+    @Test
+    void countsTheEndOfAPreemptedRunThatWasDoneBeforeItsStop() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("batch").priority(2).step(Jobs.step(1, 8)));
+        sample.submit(Jobs.job("urgent").priority(0).step(Jobs.step(1, 8)));
+        assertThat(sample.orders("w1").stops()).hasSize(1);
+
+        sample.end("w1", 1, "batch.0.0.0", 1, EndKind.DONE);
+
+        assertThat(sample.progress("batch").phase()).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void countsTheFailureOfAPreemptedRun() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("batch").priority(2).attempts(1).step(Jobs.step(1, 8)));
+        sample.submit(Jobs.job("urgent").priority(0).step(Jobs.step(1, 8)));
+
+        sample.end("w1", 1, "batch.0.0.0", 1, EndKind.FAILED);
+
+        assertThat(sample.progress("batch").phase()).isEqualTo(JobPhase.FAILED);
+    }
+
+    @Test
+    void countsOneFailureForAGangOfWhichSeveralMembersFailed() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        sample.submit(Jobs.job("a").attempts(2).step(Jobs.gang(Jobs.step(2, 8))));
+
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.FAILED);
+        sample.end("w2", 1, "a.0.0.1", 1, EndKind.FAILED);
+
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+    }
 }
