--- a/bin/pollenreach-completion.bash
+++ b/bin/pollenreach-completion.bash
@@ -10,7 +10,7 @@
     --as) mapfile -t COMPREPLY < <(compgen -W "entry agent declarations" -- "$word") && return ;;
   esac
   if [ "$COMP_CWORD" -eq 1 ]; then
-    words="entry agent check apply get watch submit cancel drain request status help"
+    words="entry agent check apply get watch submit cancel drain request status explain help"
   else
     case "$verb" in
       entry | agent) words="--settings --log-level --help" ;;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -83,14 +83,23 @@
     /** Returns where a job stands; empty for a job that is not known. */
     public CompletableFuture<Optional<JobPhase>> phase(String id) {
         long startMs = clock.nowMs();
-        return read(startMs, () -> store.get(Tables.PROGRESS, id)).thenCompose(row -> {
-            if (row.isPresent()) {
-                ProgressRow progress = RowCodec.fromRow(row.get(), ProgressRow.class)
-                        .orElseThrow(() -> new PollenreachException(ResultCode.INTERNAL, "unreadable row " + id));
-                return CompletableFuture.completedFuture(Optional.of(progress.phase()));
-            }
-            return read(startMs, () -> store.get(Tables.JOBS, id)).thenApply(j -> j.map(r -> JobPhase.QUEUED));
-        });
+        return read(startMs, () -> store.get(Tables.PROGRESS, id))
+                .thenCompose(row -> {
+                    if (row.isPresent()) {
+                        ProgressRow progress = RowCodec.fromRow(row.get(), ProgressRow.class)
+                                .orElseThrow(
+                                        () -> new PollenreachException(ResultCode.INTERNAL, "unreadable row " + id));
+                        return CompletableFuture.completedFuture(Optional.of(progress.phase()));
+                    }
+                    return read(startMs, () -> store.get(Tables.JOBS, id)).thenApply(j -> j.map(r -> JobPhase.QUEUED));
+                })
+                .whenComplete((phase, t) -> note(
+                        "job-asked",
+                        id,
+                        startMs,
+                        t,
+                        "phase",
+                        phase == null ? "" : phase.map(JobPhase::name).orElse("unknown")));
     }
 
     private CompletableFuture<Void> answering(String id) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
@@ -41,6 +42,7 @@
     private final Supplier<Map<String, Integer>> guarantees;
     private final Clock clock;
     private final long leaseMs;
+    private final MeterRegistry metrics;
     private final Thread thread = new Thread(this::run, "scheduler");
     private volatile boolean closed;
     private volatile Term term;
@@ -55,6 +57,7 @@
      * @param guarantees the accelerators that each workspace is guaranteed, as now in force
      * @param clock tells the time
      * @param leaseMs how long a worker keeps its runs after its agent's last report, in milliseconds
+     * @param metrics counts the decisions
      */
     public Scheduler(
             String self,
@@ -62,13 +65,15 @@
             OfficeWatch office,
             Supplier<Map<String, Integer>> guarantees,
             Clock clock,
-            long leaseMs) {
+            long leaseMs,
+            MeterRegistry metrics) {
         this.self = self;
         this.store = store;
         this.office = office;
         this.guarantees = guarantees;
         this.clock = clock;
         this.leaseMs = leaseMs;
+        this.metrics = metrics;
         thread.setDaemon(true);
     }
 
@@ -112,6 +117,11 @@
         }
     }
 
+    private void note(String event, Object... keysAndValues) {
+        metrics.counter("pollenreach.scheduler.decisions", "event", event).increment();
+        EVENTS.info(event, keysAndValues);
+    }
+
     private void stand() throws InterruptedException {
         long seen = office.termVersion();
         if (!doubt) {
@@ -133,7 +143,7 @@
         long taken = store.commit(tx).join();
         doubt = false;
         EVENTS.info("scheduler-in-office", "entry", self, "term", taken, "before", holder);
-        Term t = new Term(self, taken, store, office, guarantees, clock, leaseMs);
+        Term t = new Term(self, taken, store, office, guarantees, clock, leaseMs, this::note);
         term = t;
         try {
             t.load();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -23,6 +23,7 @@
 import io.pollenreach.daemon.internal.store.Transaction;
 import io.pollenreach.internal.batch.BatchJob;
 import io.pollenreach.internal.batch.ClusterBook;
+import io.pollenreach.internal.batch.DecisionLog;
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.WorkOrders;
 import io.pollenreach.internal.batch.WorkerReport;
@@ -61,7 +62,7 @@
     private final Supplier<Map<String, Integer>> guarantees;
     private final Clock clock;
     private final long lostAfterMs;
-    private final ClusterBook book = new ClusterBook(EVENTS::info);
+    private final ClusterBook book;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final List<TableWatch> watches = new ArrayList<>();
     private TableWatch workersWatch;
@@ -78,13 +79,15 @@
             OfficeWatch office,
             Supplier<Map<String, Integer>> guarantees,
             Clock clock,
-            long leaseMs) {
+            long leaseMs,
+            DecisionLog log) {
         this.self = self;
         this.version = version;
         this.store = store;
         this.office = office;
         this.guarantees = guarantees;
         this.clock = clock;
+        book = new ClusterBook(log);
         lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_SLACK_MS;
         expiredMs = clock.nowMs();
     }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/cli/CommandLineTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/cli/CommandLineTest.java
@@ -47,6 +47,37 @@
         second.close();
     }
 
+    @Test
+    void explainPrintsTheLinesOfOneJobInTheOrderOfTheirTime() throws IOException {
+        Path entry = dir.resolve("entry.log");
+        Path agent = dir.resolve("agent.log");
+        Files.write(
+                entry,
+                List.of(
+                        "ts=2026-01-01T00:00:03Z event=job-ended job=cut-1",
+                        "ts=2026-01-01T00:00:01Z event=job-submitted job=cut-1"));
+        Files.write(
+                agent,
+                List.of(
+                        "ts=2026-01-01T00:00:02Z event=start-answered task=cut-1.0.0.0",
+                        "ts=2026-01-01T00:00:02Z event=start-answered task=cut-10.0.0.0"));
+
+        assertThat(run("explain", "cut-1", entry.toString(), agent.toString())).isZero();
+
+        assertThat(text(out).lines().map(l -> l.substring(l.indexOf("event="))))
+                .containsExactly(
+                        "event=job-submitted job=cut-1",
+                        "event=start-answered task=cut-1.0.0.0",
+                        "event=job-ended job=cut-1");
+    }
+
+    @Test
+    void explainSaysWhenNothingIsKnownOfAJob() throws IOException {
+        Path log = Files.writeString(dir.resolve("empty.log"), "");
+
+        assertThat(run("explain", "cut-1", log.toString())).isEqualTo(ResultCode.NOT_FOUND.exitStatus());
+    }
+
     @Test
     void applyIsIdempotent() throws IOException {
         Path file = workspace(100);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -36,7 +36,15 @@
     private void load() {
         long version =
                 store.get(Tables.OFFICE, Tables.TERM).join().orElseThrow().version();
-        term = new Term("e1", version, store, new OfficeWatch(store, clock), () -> Map.of("lab", 8), clock, LEASE_MS);
+        term = new Term(
+                "e1",
+                version,
+                store,
+                new OfficeWatch(store, clock),
+                () -> Map.of("lab", 8),
+                clock,
+                LEASE_MS,
+                (event, pairs) -> {});
         term.load();
     }
 
