--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.pollenreach.Clock;
@@ -39,12 +40,20 @@
     private static final Events EVENTS = Events.of(JobIntake.class);
 
     private final StateStore store;
+    private final BooleanSupplier heard;
     private final Clock clock;
     private volatile boolean suspect;
 
-    /** Creates an intake over a store. */
-    public JobIntake(StateStore store, Clock clock) {
+    /**
+     * Creates an intake.
+     *
+     * @param store the store
+     * @param heard whether this process hears the store at present
+     * @param clock tells the time
+     */
+    public JobIntake(StateStore store, BooleanSupplier heard, Clock clock) {
         this.store = store;
+        this.heard = heard;
         this.clock = clock;
     }
 
@@ -103,7 +112,7 @@
     }
 
     private CompletableFuture<Void> answering(String id) {
-        if (!suspect) {
+        if (!suspect && heard.getAsBoolean()) {
             return CompletableFuture.completedFuture(null);
         }
         return store.get(Tables.JOBS, id)
@@ -123,7 +132,7 @@
 
     private <T> CompletableFuture<T> read(long startMs, Supplier<CompletableFuture<T>> call) {
         return call.get().exceptionallyCompose(t -> {
-            if (clock.nowMs() - startMs > PATIENCE_MS) {
+            if (clock.nowMs() - startMs > patienceMs()) {
                 return CompletableFuture.failedFuture(t);
             }
             return pause().thenCompose(v -> read(startMs, call));
@@ -139,13 +148,18 @@
             }
             suspect |= e.code() == ResultCode.WRITE_UNKNOWN;
             boolean unsure = doubt || e.code() != ResultCode.PLATFORM_UNAVAILABLE;
-            if (clock.nowMs() - startMs > PATIENCE_MS) {
+            if (clock.nowMs() - startMs > patienceMs()) {
                 return unsure ? readBack(table, key) : CompletableFuture.failedFuture(e);
             }
             return pause().thenCompose(v -> write(tx, table, key, startMs, unsure));
         });
     }
 
+    /** A process that is cut off refuses at once, since submitters find another one. */
+    private long patienceMs() {
+        return heard.getAsBoolean() ? PATIENCE_MS : 0;
+    }
+
     private CompletableFuture<Void> readBack(String table, String key) {
         return store.get(table, key).handle((Optional<StoredRow> row, Throwable t) -> {
             if (t == null && row.isPresent()) {
--- /dev/null
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
@@ -0,0 +1,100 @@
+package io.pollenreach.daemon.internal.intake;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.store.MemoryStore;
+import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.JobPhase;
+import io.pollenreach.internal.batch.ProgressRow;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class JobIntakeTest {
+    private final MemoryStore store = new MemoryStore();
+    private boolean heard = true;
+    private final JobIntake intake = new JobIntake(store, () -> heard, Clock.system());
+
+    private static BatchJob job(String id) {
+        return new BatchJob(id, "q", "team", "pool", 1, 3, "payload", List.of(), null);
+    }
+
+    private static ResultCode failure(CompletableFuture<?> call) {
+        return call.handle((v, t) ->
+                        t == null ? ResultCode.OK : PollenreachException.of(t).code())
+                .join();
+    }
+
+    @Test
+    void storesAJobBeforeItAccepts() {
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.OK);
+        assertThat(store.get(Tables.JOBS, "a").join()).isPresent();
+    }
+
+    @Test
+    void acceptsTheSameIdAgain() {
+        intake.submit(job("a")).join();
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.OK);
+    }
+
+    @Test
+    void doesNotPromiseThatADoubtfulJobNeverRuns() {
+        store.failCommits(ResultCode.WRITE_UNKNOWN);
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.WRITE_UNKNOWN);
+    }
+
+    @Test
+    void saysUnavailableWhenNothingCanHaveBeenStored() {
+        store.failCommits(ResultCode.PLATFORM_UNAVAILABLE);
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    }
+
+    // Submissions to a silent store ended in doubt, after which submitters do not come back (trouble-3 of rqt-pollen).
+    @Test
+    void sendsNothingToAStoreThatLeftAWriteUnansweredAndDoesNotAnswerAReadEither() {
+        store.failCommits(ResultCode.WRITE_UNKNOWN);
+        failure(intake.submit(job("a")));
+        store.setSilent(true);
+
+        assertThat(failure(intake.submit(job("b")))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    }
+
+    @Test
+    void refusesWithoutAWriteWhileTheStoreIsNotHeard() {
+        heard = false;
+        store.setSilent(true);
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+        store.setSilent(false);
+        assertThat(store.get(Tables.JOBS, "a").join()).isEmpty();
+    }
+
+    @Test
+    void cancelsOnlyWhatIsKnown() {
+        intake.submit(job("a")).join();
+
+        assertThat(intake.cancel("a").join()).isTrue();
+        assertThat(intake.cancel("a").join()).isTrue();
+        assertThat(intake.cancel("b").join()).isFalse();
+    }
+
+    @Test
+    void tellsWhereAJobStands() {
+        intake.submit(job("a")).join();
+        assertThat(intake.phase("a").join()).contains(JobPhase.QUEUED);
+
+        store.put(Tables.PROGRESS, "a", RowCodec.toValue(new ProgressRow(JobPhase.COMPLETED, List.of())));
+
+        assertThat(intake.phase("a").join()).contains(JobPhase.COMPLETED);
+        assertThat(intake.phase("b").join()).isEmpty();
+    }
+}
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -7,6 +7,7 @@
 import io.pollenreach.ManualClock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.store.MemoryStore;
 import io.pollenreach.daemon.internal.store.RowCodec;
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.internal.batch.BatchJob;
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/MemoryStore.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
@@ -1,4 +1,4 @@
-package io.pollenreach.daemon.internal.scheduler;
+package io.pollenreach.daemon.internal.store;
 
 import java.util.List;
 import java.util.Optional;
@@ -7,28 +7,34 @@
 
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
-import io.pollenreach.daemon.internal.store.Rows;
-import io.pollenreach.daemon.internal.store.StateStore;
-import io.pollenreach.daemon.internal.store.StoredRow;
-import io.pollenreach.daemon.internal.store.Transaction;
 
 /** A store in memory that can refuse writes; changes are read, never waited for. */
-final class MemoryStore implements StateStore {
+public final class MemoryStore implements StateStore {
     private final TreeMap<String, StoredRow> rows = new TreeMap<>();
     private long version;
     private ResultCode failure;
+    private boolean silent;
 
     /** Fails every commit with a code; null ends that. */
-    synchronized void failCommits(ResultCode code) {
+    public synchronized void failCommits(ResultCode code) {
         failure = code;
     }
 
-    synchronized void put(String table, String key, byte[] value) {
+    /** Leaves reads unanswered, or answers them again. */
+    public synchronized void setSilent(boolean on) {
+        silent = on;
+    }
+
+    /** Writes a row without conditions. */
+    public synchronized void put(String table, String key, byte[] value) {
         rows.put(table + '/' + key, new StoredRow(key, ++version, value));
     }
 
     @Override
     public synchronized CompletableFuture<Optional<StoredRow>> get(String table, String key) {
+        if (silent) {
+            return new CompletableFuture<>();
+        }
         return CompletableFuture.completedFuture(Optional.ofNullable(rows.get(table + '/' + key)));
     }
 
