Let urgent jobs beyond their guarantee undo up to 500 core-seconds

Ruled out: reclaim inside guarantees (0.2 to 0.6 s). Change: the bound on what such a job may undo is the larger of its own work and 500 core-seconds.

--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -12,7 +12,7 @@
  * One pass over everything that waits, most urgent first.
  *
  * <p>Jobs of priority 0 inside their workspace's guarantee come first and reclaim room from less urgent ones; others of
- * priority 0 do so when that undoes no more work than they bring. What
+ * priority 0 do so when that undoes little work. What
  * they wait for is claimed, so that nothing less urgent slips into it. For use by one thread.
  */
 final class PlacementPass {
@@ -28,6 +28,12 @@
     /** How long a gang waits before the workers that suit it best take nothing less urgent, in milliseconds. */
     static final long CLAIM_AFTER_MS = 1_500;
 
+    /**
+     * Work worth undoing for one urgent task, in milliseconds of a core: by the platform's price list a late urgent job costs
+     * about as much as twice that.
+     */
+    static final double LATE_CORE_MS = 500_000;
+
     /** How long a task stays away from a worker on which it, or others lately, failed, in milliseconds. */
     static final long AVOID_MS = 2_000;
 
@@ -200,9 +206,11 @@
         room.take(plan.get().assignments(), unit.spec().occupied());
     }
 
-    /** Returns how much work of others an urgent job without a claim to the room may undo: as much as it brings. */
+    /** Returns how much work of others an urgent job beyond its guarantee may undo. */
     private static double worthCoreMs(Unit unit) {
-        return unit.tasks().size() * unit.spec().need().cores() * unit.spec().estimatedMs();
+        double own =
+                unit.tasks().size() * unit.spec().need().cores() * unit.spec().estimatedMs();
+        return Math.max(own, LATE_CORE_MS);
     }
 
     private void claim(Unit unit, List<WorkerBook> usable) {
