Bound how long a silent channel keeps news from a process

Ruled out: the cancel itself (acknowledged, taken up by the scheduler). Change: every wait is 1.2 s.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -31,6 +31,9 @@
     /** Silence after which another entry stands, in milliseconds: two beats missed, and half a second for the store. */
     static final long VACANT_AFTER_MS = 2_500;
 
+    /** How long one call of the scheduler waits for jobs, cancels and reports, in milliseconds; see the agent's. */
+    public static final long WATCH_WAIT_MS = 1_200;
+
     private static final long CANDIDATE_PAUSE_MS = 50;
     private static final long JITTER_MS = 150;
     private static final long STOP_WAIT_MS = 1_500;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -47,7 +47,6 @@
     private static final long TICK_MS = 200;
 
     private static final long RETRY_MS = 100;
-    private static final long WATCH_WAIT_MS = 5_000;
 
     /** How long ended jobs can still be asked for, in milliseconds; the platform asks for two minutes. */
     private static final long KEEP_ENDED_MS = 180_000;
@@ -175,7 +174,7 @@
                 }
             }
         };
-        TableWatch watch = new TableWatch(store, table, WATCH_WAIT_MS, clock, listener);
+        TableWatch watch = new TableWatch(store, table, Scheduler.WATCH_WAIT_MS, clock, listener);
         watches.add(watch);
         watch.startAfter(after);
         return watch;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
@@ -38,9 +38,14 @@
     /** Pause between looks while ends wait to be stored, in milliseconds; a report takes some ten. */
     private static final long UNSTORED_LOOK_MS = 25;
 
+    /**
+     * How long one call waits for orders, in milliseconds. A channel may fall silent without a sign, so this and the call's
+     * timeout bound how late a stop is seen.
+     */
+    public static final long ORDERS_WAIT_MS = 1_200;
+
     private static final long TICK_MS = 100;
     private static final long RETRY_MS = 150;
-    private static final long ORDERS_WAIT_MS = 10_000;
     private static final Events EVENTS = Events.of(WorkAgent.class);
 
     private final String name;
