Write out the last log lines of a shutdown, and let idle workers report less often

Ruled out: the shutdown itself. Besides: workers that run nothing report each 2.5 s, since 1,600 reports a second do not fit the store; methods that nothing called are gone.

--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -136,7 +136,9 @@
         w.hear(report, version, nowMs);
         // Ends that an agent stored before its worker was lost or restarted are acknowledged, so they count.
         if (!w.sameLife(report)) {
-            takeFormer(w, report.formerEnds(), nowMs);
+            for (RunEnd end : report.formerEnds()) {
+                take(w, end, nowMs);
+            }
             loseRuns(w, "worker-restarted", nowMs);
         }
         report.active().forEach(this::save);
@@ -167,10 +169,6 @@
         }
     }
 
-    private void takeFormer(WorkerBook w, List<RunEnd> ends, long nowMs) {
-        ends.forEach(e -> take(w, e, nowMs));
-    }
-
     private void save(RunningTask a) {
         JobProgress job = jobs.get(a.run().task().job());
         if (job == null || a.checkpoint().isEmpty()) {
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -106,12 +106,6 @@
         }
     }
 
-    /** Returns when the next occurrence is due, in milliseconds since the Unix epoch. */
-    Optional<Long> nextDueMs() {
-        int next = occurrences.size();
-        return next < job.occurrences() ? Optional.of(job.dueMs(next)) : Optional.empty();
-    }
-
     private List<List<TaskProgress>> open(int occurrence, long nowMs) {
         return occurrences.computeIfAbsent(occurrence, k -> {
             List<List<TaskProgress>> steps = new ArrayList<>();
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -12,11 +12,11 @@
  * One pass over everything that waits, most urgent first.
  *
  * <p>Jobs of priority 0 inside their workspace's guarantee come first and reclaim room from less urgent ones; others of
- * priority 0 do so when that undoes little work. What
- * they wait for is claimed, so that nothing less urgent slips into it. For use by one thread.
+ * priority 0 do so when that undoes little work. What they wait for is claimed, so that nothing less urgent slips into
+ * it. For use by one thread.
  */
 final class PlacementPass {
-    /** A worker that gave no report for this long gets no new tasks, in milliseconds: three missed reports. */
+    /** A worker that gave no report for this long gets no new tasks, in milliseconds: one more than an idle worker pauses. */
     static final long FRESH_MS = 3_500;
 
     /** Shortest wait for a place near the data or on one rack before tasks are spread, in milliseconds. */
@@ -106,7 +106,7 @@
     }
 
     private boolean ready(TaskProgress t) {
-        return t.state() == TaskProgress.State.WAITING && t.notBeforeMs() <= nowMs && !book.blocked(t.id());
+        return t.state() == TaskProgress.State.WAITING && !book.blocked(t.id());
     }
 
     private void place(Unit unit) {
--- a/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
@@ -24,7 +24,6 @@
     private String failedOn = "";
     private long waitingSinceMs;
     private long placedMs;
-    private long notBeforeMs;
 
     TaskProgress(TaskId id, long nowMs) {
         this.id = id;
@@ -93,10 +92,6 @@
         return placedMs;
     }
 
-    long notBeforeMs() {
-        return notBeforeMs;
-    }
-
     boolean at(String name, int number) {
         return state == State.PLACED && run == number && worker.equals(name);
     }
@@ -127,10 +122,6 @@
         waitingSinceMs = nowMs;
     }
 
-    void postpone(long untilMs) {
-        notBeforeMs = untilMs;
-    }
-
     /** Counts a failure; several members of a gang may list one for the same run. */
     void fail(String name) {
         if (failedRun != run) {
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Stream;
 
@@ -197,8 +196,4 @@
     void committed(long version) {
         stops.values().stream().filter(s -> s.inOrdersSince == UNCOMMITTED).forEach(s -> s.inOrdersSince = version);
     }
-
-    Optional<RunningTask> activeRun(TaskRun run) {
-        return report.active().stream().filter(a -> a.run().equals(run)).findFirst();
-    }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerHealth.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerHealth.java
@@ -31,12 +31,6 @@
         }
     }
 
-    /** Sets the worker aside at once, for a run that stood still on it. */
-    void stalled(long nowMs) {
-        failures = Math.max(failures + 1, FAILURES_TO_SET_ASIDE);
-        asideUntilMs = nowMs + FIRST_ASIDE_MS;
-    }
-
     void succeeded() {
         reset();
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
@@ -49,5 +49,6 @@
         } catch (Exception e) {
             EVENTS.warn("shutdown-failed", "error", e);
         }
+        LogSetup.flush();
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/log/BoundedHandler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/log/BoundedHandler.java
@@ -23,7 +23,8 @@
     private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
     private final AtomicLong dropped = new AtomicLong();
     private final PrintStream out;
-    private volatile boolean writing;
+    /** Lines that were taken in and are not written yet. */
+    private final AtomicLong unwritten = new AtomicLong();
 
     BoundedHandler(PrintStream out) {
         this.out = out;
@@ -34,7 +35,12 @@
 
     @Override
     public void publish(LogRecord record) {
-        if (isLoggable(record) && !waiting.offer(getFormatter().format(record))) {
+        if (!isLoggable(record)) {
+            return;
+        }
+        unwritten.incrementAndGet();
+        if (!waiting.offer(getFormatter().format(record))) {
+            unwritten.decrementAndGet();
             dropped.incrementAndGet();
         }
     }
@@ -44,9 +50,10 @@
         try {
             while (true) {
                 batch.append(waiting.take());
-                writing = true;
+                int lines = 1;
                 for (String line = waiting.poll(); line != null; line = waiting.poll()) {
                     batch.append(line);
+                    lines++;
                 }
                 long lost = dropped.getAndSet(0);
                 if (lost > 0) {
@@ -55,7 +62,7 @@
                 out.print(batch);
                 out.flush();
                 batch.setLength(0);
-                writing = false;
+                unwritten.addAndGet(-lines);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -66,7 +73,7 @@
     @Override
     public void flush() {
         try {
-            for (long waited = 0; (writing || !waiting.isEmpty()) && waited < FLUSH_MS; waited += POLL_MS) {
+            for (long waited = 0; unwritten.get() > 0 && waited < FLUSH_MS; waited += POLL_MS) {
                 Thread.sleep(POLL_MS);
             }
         } catch (InterruptedException e) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
@@ -40,6 +40,9 @@
     /** Longest pause between reports, in milliseconds: a worker must outlast a store that is away for five seconds. */
     static final long REPORT_MS = 1_000;
 
+    /** The same for a worker that runs nothing; the scheduler places on workers that reported within 3.5 s. */
+    static final long IDLE_REPORT_MS = 2_500;
+
     /** A look that gave no answer this long ago says nothing of the worker any more, in milliseconds. */
     private static final long STALE_LOOK_MS = 1_500;
 
@@ -67,7 +70,8 @@
         long nowMs = clock.nowMs();
         boolean left = l.vacant();
         boolean heardOfWorker = left || l.lookedMs > 0 && nowMs - l.lookedMs < STALE_LOOK_MS;
-        boolean due = l.reportSoon || !left && nowMs - l.reportedMs >= REPORT_MS;
+        long periodMs = l.runs.idle() ? IDLE_REPORT_MS : REPORT_MS;
+        boolean due = l.reportSoon || !left && nowMs - l.reportedMs >= periodMs;
         boolean held = l.reporting || nowMs < l.reportNotBeforeMs;
         if (held || l.ordersSeen == 0 || !due || !heardOfWorker || !host.isCurrent(l)) {
             return;
