Count each end once, also across a new scheduler and a restarted worker

Ruled out: a second failing run. Change: a task's row keeps the newest run whose end was taken and that counted as a failure. Test: ClusterBookTest.countsAFailureOnceThoughARestartedWorkerReportsItAgain, which failed before.

--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -251,6 +251,7 @@
             return;
         }
         changedJobs.add(job.job().id());
+        t.noteEnd();
         saveAll(job, t, end.checkpoint());
         switch (end.kind()) {
             case DONE -> finish(w, job, t, nowMs);
--- a/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
@@ -30,6 +30,8 @@
      * @param failures how many runs ended as failed
      * @param worker the agent's name of the worker that holds it; empty when not placed
      * @param checkpoint the saved work; empty for none
+     * @param endedRun the newest run of which an end was taken; 0 for none
+     * @param failedRun the newest run that counted as a failure; 0 for none
      */
     @JsonInclude(JsonInclude.Include.NON_DEFAULT)
     public record TaskRow(
@@ -40,7 +42,9 @@
             int run,
             int failures,
             String worker,
-            String checkpoint) {
+            String checkpoint,
+            int endedRun,
+            int failedRun) {
         public TaskRow {
             worker = worker == null ? "" : worker;
             checkpoint = checkpoint == null ? "" : checkpoint;
--- a/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
@@ -18,6 +18,9 @@
     private State state = State.WAITING;
     private int run;
     private int failures;
+    /** The newest run of which an end was taken, and the newest that counted as a failure; 0 for none. */
+    private int endedRun;
+
     private int failedRun;
     private String worker = "";
     private String checkpoint = "";
@@ -37,13 +40,15 @@
         task.failures = row.failures();
         task.worker = row.worker();
         task.checkpoint = row.checkpoint();
+        task.endedRun = row.endedRun();
+        task.failedRun = row.failedRun();
         task.placedMs = nowMs;
         return task;
     }
 
     ProgressRow.TaskRow toRow() {
         return new ProgressRow.TaskRow(
-                id.occurrence(), id.step(), id.index(), state, run, failures, worker, checkpoint);
+                id.occurrence(), id.step(), id.index(), state, run, failures, worker, checkpoint, endedRun, failedRun);
     }
 
     /** Tells whether the task differs from one that was never placed. */
@@ -98,10 +103,15 @@
 
     /**
      * Tells whether the end of a run still counts though it was told to stop: it may have finished before the stop came,
-     * and the task is not placed again before its worker has listed the end.
+     * and the task is not placed again before its worker has listed the end. An end that was taken does not count again,
+     * though a restarted worker may report it once more.
      */
     boolean awaitsEndOf(int number) {
-        return state == State.WAITING && run == number;
+        return state == State.WAITING && run == number && endedRun != number;
+    }
+
+    void noteEnd() {
+        endedRun = run;
     }
 
     void place(String name, int number, long nowMs) {
--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -276,4 +276,21 @@
 
         assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
     }
+
+    // A job that may fail twice was shown as failed after one failure: its worker restarted before it had seen that the
+    // end
+    // was taken, and a new scheduler counted it again (hunt-6b4f-7 of ctread).
+    @Test
+    void countsAFailureOnceThoughARestartedWorkerReportsItAgain() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").priority(2).attempts(2).step(Jobs.step(1, 8)));
+        sample.submit(Jobs.job("urgent").priority(0).step(Jobs.step(1, 8)));
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.FAILED);
+        assertThat(sample.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+
+        SampleBook next = sample.successor();
+        next.restart("w1", List.of(SampleBook.end(1, "a.0.0.0", 1, EndKind.FAILED)));
+
+        assertThat(next.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+    }
 }
