Stop runs of jobs that were cancelled while nobody was in office

Ruled out: a deaf agent (it took other orders meanwhile). Change: once all is restored, runs of ended jobs are stopped. Test: ClusterBookTest.stopsTheRunsOfAJobThatWasCancelledWhileNobodyWasInOffice, which failed before.

--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -79,7 +79,8 @@
     }
 
     /**
-     * Finishes what {@code restore} began: tasks whose run no worker's orders name wait again.
+     * Finishes what {@code restore} began: tasks whose run no worker's orders name wait again, and runs of jobs that have
+     * ended are stopped.
      *
      * <p>Progress is stored before or with the orders, so such a run was never ordered, or its worker is gone.
      */
@@ -89,6 +90,10 @@
                     .filter(t -> t.state() == TaskProgress.State.PLACED && !ordered(t))
                     .toList()
                     .forEach(t -> lose(job, t, "no-orders", nowMs));
+            if (job.phase().ended()) {
+                // It may have been cancelled while nobody was in office, before its workers were added here.
+                job.tasks().filter(t -> t.state() == TaskProgress.State.PLACED).forEach(t -> stop(t, nowMs));
+            }
         }
     }
 
--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -293,4 +293,19 @@
 
         assertThat(next.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
     }
+
+    // A task ran on for 10 s after its job was cancelled: the cancel came while nobody was in office, and the next
+    // scheduler
+    // learned of it before it had added the workers (hunt-dd9d-35 of rqt-pollen).
+    @Test
+    void stopsTheRunsOfAJobThatWasCancelledWhileNobodyWasInOffice() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+
+        SampleBook next = sample.successor("a");
+
+        assertThat(next.progress("a").phase()).isEqualTo(JobPhase.CANCELLED);
+        assertThat(next.orders("w1").runs()).isEmpty();
+        assertThat(next.orders("w1").stops()).hasSize(1);
+    }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
@@ -117,9 +117,12 @@
         book.committed(++version);
     }
 
-    /** Returns a book that a scheduler would build that takes office now. */
-    SampleBook successor() {
+    /** Returns a book that a scheduler would build that takes office now, after some jobs were cancelled. */
+    SampleBook successor(String... cancelled) {
         SampleBook next = new SampleBook();
+        for (String id : cancelled) {
+            next.book.cancel(id, nowMs);
+        }
         next.version = version;
         next.reports.putAll(reports);
         long sequence = 0;
