--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -57,28 +57,17 @@
 
     /** Returns the same report with the mark that the worker is lost. */
     public WorkerReport asLost() {
-        return new WorkerReport(
-                agent,
-                life,
-                instance,
-                bornMs,
-                pool,
-                capacity,
-                labels,
-                rack,
-                zone,
-                takesTasks,
-                sequence,
-                ordersSeen,
-                active,
-                ends,
-                formerEnds,
-                true);
+        return copy(ordersSeen, active, ends, formerEnds, true);
     }
 
     /** Returns the same report with what is known of the worker's runs. */
     public WorkerReport withRuns(
             long ordersSeen, List<RunningTask> active, List<RunEnd> ends, List<RunEnd> formerEnds) {
+        return copy(ordersSeen, active, ends, formerEnds, lost);
+    }
+
+    private WorkerReport copy(
+            long seen, List<RunningTask> running, List<RunEnd> newEnds, List<RunEnd> oldEnds, boolean isLost) {
         return new WorkerReport(
                 agent,
                 life,
@@ -91,11 +80,11 @@
                 zone,
                 takesTasks,
                 sequence,
-                ordersSeen,
-                active,
-                ends,
-                formerEnds,
-                lost);
+                seen,
+                running,
+                newEnds,
+                oldEnds,
+                isLost);
     }
 
     /** Returns whether the worker carries a label. */
--- a/core/src/test/java/io/pollenreach/internal/batch/Jobs.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/Jobs.java
@@ -68,49 +68,25 @@
     }
 
     static StepSpec after(StepSpec s, Integer... before) {
-        return new StepSpec(
-                s.taskCount(),
-                s.need(),
-                s.estimatedMs(),
-                List.of(before),
-                s.checkpointing(),
-                s.gang(),
-                s.sameRack(),
-                s.requiredLabel(),
-                s.dataRack(),
-                s.maxPerWorker(),
-                s.speculative(),
-                s.longRunning(),
-                s.filler(),
-                s.maxUnavailable());
+        return copy(s, List.of(before), s.checkpointing(), s.gang());
     }
 
     static StepSpec gang(StepSpec s) {
-        return new StepSpec(
-                s.taskCount(),
-                s.need(),
-                s.estimatedMs(),
-                s.after(),
-                s.checkpointing(),
-                true,
-                s.sameRack(),
-                s.requiredLabel(),
-                s.dataRack(),
-                s.maxPerWorker(),
-                s.speculative(),
-                s.longRunning(),
-                s.filler(),
-                s.maxUnavailable());
+        return copy(s, s.after(), s.checkpointing(), true);
     }
 
     static StepSpec checkpointing(StepSpec s) {
+        return copy(s, s.after(), true, s.gang());
+    }
+
+    private static StepSpec copy(StepSpec s, List<Integer> after, boolean checkpointing, boolean gang) {
         return new StepSpec(
                 s.taskCount(),
                 s.need(),
                 s.estimatedMs(),
-                s.after(),
-                true,
-                s.gang(),
+                after,
+                checkpointing,
+                gang,
                 s.sameRack(),
                 s.requiredLabel(),
                 s.dataRack(),
