--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -86,7 +86,7 @@
      * @param ip where it listens, on a free port
      * @param instance its name
      * @param rack its rack
-     * @param agentAddress where its agent takes announcements, as {@code ip:port}
+     * @param agentAddress where its agent takes heartbeats, as {@code ip:port}
      * @param record what it saw
      */
     public EmulatedWorker(String ip, String instance, String rack, String agentAddress, RunRecord record)
--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
 
 /**
  * A job as it was submitted, with the policy of its queue at that time.
@@ -30,8 +32,29 @@
         String payload,
         List<StepSpec> steps,
         Recurrence recurrence) {
+    /** The widest step that is taken: a quarter of all tasks that the largest deployment runs at a time. */
+    private static final int MAX_TASKS = 10_000;
+
+    /** Creates a job; fails with a numbered error when no worker could ever make sense of its steps. */
     public BatchJob {
+        if (steps == null || steps.isEmpty()) {
+            throw new PollenreachException(ResultCode.MISSING_FIELD, "steps", "a job needs at least one step");
+        }
         steps = List.copyOf(steps);
+        for (int i = 0; i < steps.size(); i++) {
+            check(steps.get(i), i);
+        }
+    }
+
+    private static void check(StepSpec step, int index) {
+        if (step.taskCount() < 1 || step.taskCount() > MAX_TASKS) {
+            String detail = "step " + index + " has " + step.taskCount() + " tasks, not 1 to " + MAX_TASKS;
+            throw new PollenreachException(ResultCode.OUT_OF_RANGE, "steps", detail);
+        }
+        if (step.after().stream().anyMatch(a -> a < 0 || a >= index)) {
+            String detail = "step " + index + " comes after " + step.after() + ", not after earlier steps only";
+            throw new PollenreachException(ResultCode.OUT_OF_RANGE, "steps", detail);
+        }
     }
 
     /** Returns how many times the steps run. */
--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -12,7 +12,7 @@
 import java.util.TreeMap;
 
 /**
- * Everything that the scheduler in office knows: jobs, workers, and what changed since it was last stored.
+ * Everything that the leading scheduler knows: jobs, workers, and what changed since it was last stored.
  *
  * <p>Invariants: a task is placed only when no worker's orders name it any more; a placement is visible to agents only
  * once the change that {@link #changes()} returns was stored; ends count only for the run that the task is placed as. Not
@@ -69,13 +69,14 @@
     /**
      * Adds a worker with the orders that an earlier scheduler stored; all its jobs must have been added before.
      *
-     * @param heardMs a time, by the scheduler's steady clock, at which the report had surely been written
+     * @param reportedMs a time, by the scheduler's steady clock, at which the report had surely been written
      */
-    public void restore(WorkerReport report, long reportVersion, WorkOrders orders, long ordersVersion, long heardMs) {
-        WorkerBook worker = new WorkerBook(report, reportVersion, heardMs);
-        worker.restore(orders, ordersVersion, this::occupied, heardMs);
+    public void restore(
+            WorkerReport report, long reportVersion, WorkOrders orders, long ordersVersion, long reportedMs) {
+        WorkerBook worker = new WorkerBook(report, reportVersion, reportedMs);
+        worker.restore(orders, ordersVersion, this::occupied, reportedMs);
         workers.put(worker.name(), worker);
-        report(report, reportVersion, heardMs);
+        take(worker, report, reportVersion, reportedMs);
     }
 
     /**
@@ -91,7 +92,7 @@
                     .toList()
                     .forEach(t -> lose(job, t, "no-orders", nowMs));
             if (job.phase().ended()) {
-                // It may have been cancelled while nobody was in office, before its workers were added here.
+                // It may have been cancelled while there was no leader, before its workers were added here.
                 job.tasks().filter(t -> t.state() == TaskProgress.State.PLACED).forEach(t -> stop(t, nowMs));
             }
         }
@@ -125,22 +126,26 @@
         }
     }
 
-    /** Takes a report; a worker under a new life or marked as lost has lost all its runs. */
+    /** Takes a report; a worker under a new incarnation or marked as lost has lost all its runs. */
     public void report(WorkerReport report, long version, long nowMs) {
         WorkerBook w = workers.get(report.agent());
+        if (w != null && version <= w.reportVersion()) {
+            return;
+        }
         if (w == null) {
             w = new WorkerBook(report, version, nowMs);
             workers.put(w.name(), w);
             changedWorkers.add(w.name());
-            log.note("worker-joined", "worker", w.name(), "life", report.life(), "pool", report.pool());
-        }
-        if (version < w.reportVersion()) {
-            return;
+            log.note("worker-joined", "worker", w.name(), "incarnation", report.incarnation(), "pool", report.pool());
         }
+        take(w, report, version, nowMs);
+    }
+
+    private void take(WorkerBook w, WorkerReport report, long version, long nowMs) {
         w.report().active().forEach(this::save);
-        w.hear(report, version, nowMs);
+        w.update(report, version, nowMs);
         // Ends that an agent stored before its worker was lost or restarted are acknowledged, so they count.
-        if (!w.sameLife(report)) {
+        if (!w.sameIncarnation(report)) {
             for (RunEnd end : report.formerEnds()) {
                 take(w, end, nowMs);
             }
@@ -196,9 +201,18 @@
 
     private void loseRuns(WorkerBook w, String why, long nowMs) {
         List<TaskRun> runs = w.runs();
-        w.startLife();
+        w.startIncarnation();
         changedWorkers.add(w.name());
-        log.note("worker-runs-lost", "worker", w.name(), "life", w.report().life(), "why", why, "runs", runs.size());
+        log.note(
+                "worker-runs-lost",
+                "worker",
+                w.name(),
+                "incarnation",
+                w.report().incarnation(),
+                "why",
+                why,
+                "runs",
+                runs.size());
         for (TaskRun run : runs) {
             JobProgress job = jobs.get(run.task().job());
             if (job != null) {
@@ -311,7 +325,8 @@
     /** Returns the agents whose workers gave no report for a time, in milliseconds, though they may hold runs. */
     public List<WorkerReport> silentFor(long silenceMs, long nowMs) {
         return workers.values().stream()
-                .filter(w -> !w.report().lost() && nowMs - w.heardMs() > silenceMs)
+                .filter(w -> !w.report().lost() && !w.report().instance().isEmpty())
+                .filter(w -> nowMs - w.reportedMs() > silenceMs)
                 .map(WorkerBook::report)
                 .toList();
     }
@@ -339,11 +354,6 @@
         return guarantees.getOrDefault(workspace, 0);
     }
 
-    /** Tells whether some worker's orders still name the task. */
-    boolean blocked(TaskId task) {
-        return workers.values().stream().anyMatch(w -> w.holds(task));
-    }
-
     void place(JobProgress job, List<Room.Assignment> assignments, long nowMs) {
         StepSpec spec = job.spec(assignments.get(0).task().id());
         int gangRun = assignments.stream().mapToInt(a -> a.task().run()).max().orElse(0) + 1;
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One pass over everything that waits, most urgent first.
@@ -52,12 +54,14 @@
     private final long nowMs;
     private final long wallMs;
     private final Room room;
+    private final Set<TaskId> held;
 
     PlacementPass(ClusterBook book, long nowMs, long wallMs) {
         this.book = book;
         this.nowMs = nowMs;
         this.wallMs = wallMs;
         room = new Room(book.workers(), WorkerBook::free);
+        held = book.workers().stream().flatMap(WorkerBook::heldTasks).collect(Collectors.toSet());
     }
 
     void run() {
@@ -106,7 +110,7 @@
     }
 
     private boolean ready(TaskProgress t) {
-        return t.state() == TaskProgress.State.WAITING && !book.blocked(t.id());
+        return t.state() == TaskProgress.State.WAITING && !held.contains(t.id());
     }
 
     private void place(Unit unit) {
@@ -162,7 +166,7 @@
         List<WorkerBook> able = book.workers().stream()
                 .filter(w -> w.report().pool().equals(unit.job().job().pool()))
                 .filter(w -> !w.report().lost() && w.report().takesTasks())
-                .filter(w -> nowMs - w.heardMs() <= FRESH_MS)
+                .filter(w -> nowMs - w.reportedMs() <= FRESH_MS)
                 .filter(w -> !w.health().aside(nowMs))
                 .filter(w -> w.report().has(unit.spec().requiredLabel()))
                 .toList();
--- a/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 
 /**
- * How far a job is, as it is stored; only the scheduler in office writes it.
+ * How far a job is, as it is stored; only the leader writes it.
  *
  * <p>Immutable.
  *
--- a/core/src/main/java/io/pollenreach/internal/batch/RunEnd.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunEnd.java
@@ -5,7 +5,7 @@
  *
  * <p>Immutable.
  *
- * @param number rises with each end of one worker's life; 0 for {@link EndKind#REFUSED}, which workers do not list
+ * @param number rises with each end of one worker's incarnation; 0 for {@link EndKind#REFUSED}, which workers do not list
  * @param run the run
  * @param kind how it ended
  * @param checkpoint the saved work; empty for none
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkOrders.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkOrders.java
@@ -10,21 +10,21 @@
  * <p>A run stands in exactly one list until the worker's report shows that it is gone: so the two lists together are what
  * may occupy the worker. Immutable.
  *
- * @param life the life of the worker that the orders are for
+ * @param incarnation the incarnation of the worker that the orders are for
  * @param runs runs to start and keep
  * @param stops runs to end
  * @param endsTaken the number of the newest end that the scheduler has recorded
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
-public record WorkOrders(String life, List<OrderedRun> runs, List<TaskRun> stops, long endsTaken) {
+public record WorkOrders(String incarnation, List<OrderedRun> runs, List<TaskRun> stops, long endsTaken) {
     public WorkOrders {
         runs = runs == null ? List.of() : List.copyOf(runs);
         stops = stops == null ? List.of() : List.copyOf(stops);
     }
 
     /** Returns orders to do nothing. */
-    public static WorkOrders none(String life) {
-        return new WorkOrders(life, List.of(), List.of(), 0);
+    public static WorkOrders none(String incarnation) {
+        return new WorkOrders(incarnation, List.of(), List.of(), 0);
     }
 
     /**
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
@@ -37,17 +37,17 @@
     private final Map<TaskRun, Stop> stops = new LinkedHashMap<>();
     private WorkerReport report;
     private long reportVersion;
-    private long heardMs;
+    private long reportedMs;
     private long endsTaken;
-    private String ordersLife;
+    private String ordersIncarnation;
     private final WorkerHealth health = new WorkerHealth();
 
     WorkerBook(WorkerReport report, long reportVersion, long nowMs) {
         name = report.agent();
         this.report = report;
         this.reportVersion = reportVersion;
-        heardMs = nowMs;
-        ordersLife = report.life();
+        reportedMs = nowMs;
+        ordersIncarnation = report.incarnation();
     }
 
     String name() {
@@ -62,8 +62,8 @@
         return reportVersion;
     }
 
-    long heardMs() {
-        return heardMs;
+    long reportedMs() {
+        return reportedMs;
     }
 
     long endsTaken() {
@@ -74,37 +74,37 @@
         return health;
     }
 
-    boolean sameLife(WorkerReport other) {
-        return ordersLife.equals(other.life());
+    boolean sameIncarnation(WorkerReport other) {
+        return ordersIncarnation.equals(other.incarnation());
     }
 
-    void hear(WorkerReport next, long version, long nowMs) {
+    void update(WorkerReport next, long version, long nowMs) {
         report = next;
         reportVersion = version;
-        heardMs = nowMs;
+        reportedMs = nowMs;
     }
 
     /** Takes the orders that an earlier scheduler wrote; {@code needs} tells what a run occupies. */
     void restore(WorkOrders orders, long version, Function<TaskId, Resources> needs, long nowMs) {
-        ordersLife = orders.life();
+        ordersIncarnation = orders.incarnation();
         endsTaken = orders.endsTaken();
         orders.runs()
                 .forEach(r -> runs.put(r.run(), new Held(r, needs.apply(r.run().task()))));
         orders.stops().forEach(r -> stops.put(r, new Stop(needs.apply(r.task()), nowMs, version)));
     }
 
-    /** Starts over with the orders of a new life of the worker. */
-    void startLife() {
+    /** Starts over with the orders of a new incarnation of the worker. */
+    void startIncarnation() {
         runs.clear();
         stops.clear();
         endsTaken = 0;
-        ordersLife = report.life();
+        ordersIncarnation = report.incarnation();
         health.reset();
     }
 
     WorkOrders toOrders() {
         return new WorkOrders(
-                ordersLife,
+                ordersIncarnation,
                 runs.values().stream().map(Held::order).toList(),
                 new ArrayList<>(stops.keySet()),
                 endsTaken);
@@ -136,14 +136,13 @@
         return new ArrayList<>(runs.keySet());
     }
 
-    boolean holds(TaskId task) {
-        return runs.keySet().stream().anyMatch(r -> r.task().equals(task))
-                || stops.keySet().stream().anyMatch(r -> r.task().equals(task));
+    /** Returns the tasks of all runs that may occupy the worker. */
+    Stream<TaskId> heldTasks() {
+        return Stream.concat(runs.keySet().stream(), stops.keySet().stream()).map(TaskRun::task);
     }
 
     int countOfStep(TaskId of) {
-        return (int) Stream.concat(runs.keySet().stream(), stops.keySet().stream())
-                .map(TaskRun::task)
+        return (int) heldTasks()
                 .filter(t -> t.job().equals(of.job()) && t.occurrence() == of.occurrence() && t.step() == of.step())
                 .count();
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -10,7 +10,7 @@
  * <p>Immutable.
  *
  * @param agent the agent's name
- * @param life names one life of the worker under one registration; whatever an earlier life ran is gone
+ * @param incarnation names one incarnation of the worker under one registration; whatever an earlier incarnation ran is gone
  * @param instance the platform's name of the worker process
  * @param bornMs when the worker process started, in milliseconds since the Unix epoch
  * @param pool the pool that the worker belongs to
@@ -19,17 +19,17 @@
  * @param rack its rack; empty when not known
  * @param zone its availability zone
  * @param takesTasks whether new tasks may be started on it; not while it drains or its agent still takes it over
- * @param sequence rises with each report of one life
+ * @param sequence rises with each report of one incarnation
  * @param ordersSeen the version of the newest orders that the agent has taken up
  * @param active runs that are or may still come to be at work
  * @param ends ends that the scheduler has not confirmed, by rising number
- * @param formerEnds ends of earlier lives that the scheduler had not confirmed when this life began
- * @param lost set by the scheduler: every run of this life is taken to be gone
+ * @param formerEnds ends of earlier incarnations that the scheduler had not confirmed when this incarnation began
+ * @param lost set by the scheduler: every run of this incarnation is taken to be gone
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record WorkerReport(
         String agent,
-        String life,
+        String incarnation,
         String instance,
         long bornMs,
         String pool,
@@ -70,7 +70,7 @@
             long seen, List<RunningTask> running, List<RunEnd> newEnds, List<RunEnd> oldEnds, boolean isLost) {
         return new WorkerReport(
                 agent,
-                life,
+                incarnation,
                 instance,
                 bornMs,
                 pool,
--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -3,9 +3,14 @@
 import java.util.List;
 import java.util.Map;
 
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class ClusterBookTest {
     private final SampleBook sample = new SampleBook();
@@ -294,11 +299,11 @@
         assertThat(next.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
     }
 
-    // A task ran on for 10 s after its job was cancelled: the cancel came while nobody was in office, and the next
+    // A task ran on for 10 s after its job was cancelled: the cancel came while there was no leader, and the next
     // scheduler
     // learned of it before it had added the workers (hunt-dd9d-35 of rqt-pollen).
     @Test
-    void stopsTheRunsOfAJobThatWasCancelledWhileNobodyWasInOffice() {
+    void stopsTheRunsOfAJobThatWasCancelledWhileThereWasNoLeader() {
         sample.worker("w1", "r1");
         sample.submit(Jobs.job("a").step(Jobs.step(1, 1)));
 
@@ -308,4 +313,32 @@
         assertThat(next.orders("w1").runs()).isEmpty();
         assertThat(next.orders("w1").stops()).hasSize(1);
     }
+
+    // An agent whose worker had left was declared lost, which wrote two rows and changed nothing (incident inc-2dea).
+    @Test
+    void doesNotMissTheReportsOfAnAgentWithoutAWorker() {
+        sample.worker("w1", "r1");
+        sample.vacate("w1");
+
+        assertThat(sample.book().silentFor(1_000, 100_000)).isEmpty();
+    }
+
+    @Test
+    void takesAReportOnceThoughItIsReadTwice() {
+        sample.worker("w1", "r1");
+        sample.lose("w1");
+
+        assertThat(sample.repeatReport("w1").isEmpty()).isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "10001, 0", "1, 1", "1, -1"})
+    void refusesStepsThatMakeNoSense(int tasks, int after) {
+        StepSpec first = Jobs.step(1, 1);
+        StepSpec second = Jobs.step(tasks, 1);
+        Jobs job = Jobs.job("a").step(first).step(after == 0 ? second : Jobs.after(second, after));
+
+        assertThatThrownBy(job::build).isInstanceOfSatisfying(PollenreachException.class, e -> assertThat(e.code())
+                .isEqualTo(ResultCode.OUT_OF_RANGE));
+    }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
@@ -25,7 +25,7 @@
     void worker(String name, String rack) {
         report(new WorkerReport(
                 name,
-                name + "-life",
+                name + "-incarnation",
                 name,
                 1,
                 "pool",
@@ -62,18 +62,46 @@
         WorkerReport r = reports.get(worker);
         List<RunEnd> ends = new ArrayList<>(r.ends());
         ends.add(end(number, task, run, kind));
-        report(with(r, r.life(), List.of(), ends, List.of()));
+        report(with(r, r.incarnation(), List.of(), ends, List.of()));
     }
 
     void running(String worker, String task, int run, String checkpoint) {
         WorkerReport r = reports.get(worker);
         RunningTask active = new RunningTask(new TaskRun(TaskId.of(task), run), checkpoint, 50);
-        report(with(r, r.life(), List.of(active), r.ends(), List.of()));
+        report(with(r, r.incarnation(), List.of(active), r.ends(), List.of()));
     }
 
     void restart(String worker, List<RunEnd> formerEnds) {
         WorkerReport r = reports.get(worker);
-        report(with(r, r.life() + "-next", List.of(), List.of(), formerEnds));
+        report(with(r, r.incarnation() + "-next", List.of(), List.of(), formerEnds));
+    }
+
+    /** Lets the worker leave, so that its agent has none. */
+    void vacate(String worker) {
+        WorkerReport r = reports.get(worker);
+        report(new WorkerReport(
+                worker,
+                "-gone",
+                "",
+                r.bornMs(),
+                r.pool(),
+                Resources.NONE,
+                List.of(),
+                "",
+                r.zone(),
+                false,
+                1,
+                0,
+                List.of(),
+                List.of(),
+                List.of(),
+                false));
+    }
+
+    /** Hands the newest report over again and returns what that changed. */
+    ClusterBook.Changes repeatReport(String worker) {
+        book.report(reports.get(worker), book.reportVersion(worker), nowMs);
+        return book.changes();
     }
 
     void lose(String worker) {
@@ -81,10 +109,10 @@
     }
 
     private static WorkerReport with(
-            WorkerReport r, String life, List<RunningTask> active, List<RunEnd> ends, List<RunEnd> formerEnds) {
+            WorkerReport r, String incarnation, List<RunningTask> active, List<RunEnd> ends, List<RunEnd> formerEnds) {
         return new WorkerReport(
                 r.agent(),
-                life,
+                incarnation,
                 r.instance(),
                 r.bornMs(),
                 r.pool(),
@@ -117,7 +145,7 @@
         book.committed(++version);
     }
 
-    /** Returns a book that a scheduler would build that takes office now, after some jobs were cancelled. */
+    /** Returns a book that a scheduler would build that is elected now, after some jobs were cancelled. */
     SampleBook successor(String... cancelled) {
         SampleBook next = new SampleBook();
         for (String id : cancelled) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -140,14 +140,15 @@
     }
 
     /** Writes a row that must not exist yet; the row with this key can only be one that says the same. */
-    private CompletableFuture<Void> write(Transaction tx, String table, String key, long startMs, boolean doubt) {
+    private CompletableFuture<Void> write(
+            Transaction tx, String table, String key, long startMs, boolean outcomeUnknown) {
         return store.commit(tx).<Void>thenApply(v -> null).exceptionallyCompose(t -> {
             PollenreachException e = PollenreachException.of(t);
             if (e.code() == ResultCode.CONFLICT) {
                 return CompletableFuture.completedFuture(null);
             }
             suspect |= e.code() == ResultCode.WRITE_UNKNOWN;
-            boolean unsure = doubt || e.code() != ResultCode.PLATFORM_UNAVAILABLE;
+            boolean unsure = outcomeUnknown || e.code() != ResultCode.PLATFORM_UNAVAILABLE;
             if (clock.nowMs() - startMs > patienceMs()) {
                 return unsure ? readBack(table, key) : CompletableFuture.failedFuture(e);
             }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/OfficeRows.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LeaderRows.java
@@ -3,15 +3,15 @@
 import java.util.Map;
 
 /** The rows of the table that says who schedules. Holds no state. */
-final class OfficeRows {
-    private OfficeRows() {}
+final class LeaderRows {
+    private LeaderRows() {}
 
     /**
      * Who schedules.
      *
      * <p>Immutable.
      *
-     * @param holder the entry in office; empty when the last one resigned
+     * @param holder the leader; empty when the last one stepped down
      */
     record Term(String holder) {}
 
@@ -20,7 +20,7 @@
      *
      * <p>Immutable.
      *
-     * @param holder the entry in office
+     * @param holder the leader
      * @param count rises with each beat
      * @param waitingByQueue how many jobs of each queue have not started
      */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/OfficeWatch.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LeaderWatch.java
@@ -16,7 +16,7 @@
  *
  * <p>What it believes saves time only: the store's version of the term decides. Safe for use by many threads.
  */
-public final class OfficeWatch implements TableWatch.Listener, AutoCloseable {
+public final class LeaderWatch implements TableWatch.Listener, AutoCloseable {
     /** How long one call waits, in milliseconds: about two beats, so that most calls return with one. */
     private static final long WAIT_MS = 2_000;
 
@@ -33,9 +33,9 @@
     private volatile Map<String, Integer> waitingByQueue = Map.of();
 
     /** Creates a watch that does nothing yet. */
-    public OfficeWatch(StateStore store, Clock clock) {
+    public LeaderWatch(StateStore store, Clock clock) {
         this.clock = clock;
-        watch = new TableWatch(store, Tables.OFFICE, WAIT_MS, clock, this);
+        watch = new TableWatch(store, Tables.LEADER, WAIT_MS, clock, this);
     }
 
     /** Starts to follow. */
@@ -82,11 +82,11 @@
         changedMs = clock.nowMs();
         if (row.key().equals(Tables.TERM)) {
             termVersion = Math.max(termVersion, row.version());
-            holder = RowCodec.fromRow(row, OfficeRows.Term.class)
-                    .map(OfficeRows.Term::holder)
+            holder = RowCodec.fromRow(row, LeaderRows.Term.class)
+                    .map(LeaderRows.Term::holder)
                     .orElse("");
         } else if (row.key().equals(Tables.BEAT)) {
-            RowCodec.fromRow(row, OfficeRows.Beat.class).ifPresent(b -> waitingByQueue = b.waitingByQueue());
+            RowCodec.fromRow(row, LeaderRows.Beat.class).ifPresent(b -> waitingByQueue = b.waitingByQueue());
         }
     }
 
@@ -101,10 +101,10 @@
     }
 
     /**
-     * Tells whether the office seems to be vacant: resigned from, held by an earlier process of this entry, or silent for a
+     * Tells whether there seems to be no leader: it stepped down, was an earlier process of this entry, or was silent for a
      * time while the store was heard.
      */
-    boolean vacantFor(String self, long silenceMs) {
+    boolean seemsMissing(String self, long silenceMs) {
         boolean silent = clock.nowMs() - changedMs > silenceMs;
         return known && (holder.isEmpty() || holder.equals(self) || silent && watch.healthyFor(silenceMs));
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -17,19 +17,19 @@
 import io.pollenreach.daemon.internal.store.Transaction;
 
 /**
- * Stands for the office of the scheduler, and schedules while it holds it.
+ * Runs for leader, and schedules while it leads.
  *
- * <p>Invariant: every write of a scheduler depends on the version of the term under which it took office, so that one
+ * <p>Invariant: every write of a scheduler depends on the version of the term under which it was elected, so that one
  * that was replaced, or whose earlier write is still on its way, changes nothing any more. When it cannot tell whether a
- * write took effect it takes office anew and reads everything again. Safe for use by many threads; one thread does all
+ * write took effect it runs for leader again and reads everything again. Safe for use by many threads; one thread does all
  * the work.
  */
 public final class Scheduler implements AutoCloseable {
     /** How often the holder shows that it works, in milliseconds. */
     static final long BEAT_MS = 1_000;
 
-    /** Silence after which another entry stands, in milliseconds: two beats missed, and half a second for the store. */
-    static final long VACANT_AFTER_MS = 2_500;
+    /** Silence after which another entry runs for leader, in milliseconds: two beats missed, and half a second for the store. */
+    static final long MISSING_AFTER_MS = 2_500;
 
     /** How long one call of the scheduler waits for jobs, cancels and reports, in milliseconds; see the agent's. */
     public static final long WATCH_WAIT_MS = 1_200;
@@ -41,7 +41,7 @@
 
     private final String self;
     private final StateStore store;
-    private final OfficeWatch office;
+    private final LeaderWatch leader;
     private final Supplier<Map<String, Integer>> guarantees;
     private final Clock clock;
     private final long leaseMs;
@@ -49,14 +49,14 @@
     private final Thread thread = new Thread(this::run, "scheduler");
     private volatile boolean closed;
     private volatile Term term;
-    private boolean doubt;
+    private boolean outcomeUnknown;
 
     /**
      * Creates a scheduler that does nothing yet.
      *
      * @param self the name of this entry; unique
      * @param store the store
-     * @param office who schedules, followed by the caller
+     * @param leader who schedules, followed by the caller
      * @param guarantees the accelerators that each workspace is guaranteed, as now in force
      * @param clock tells the time
      * @param leaseMs how long a worker keeps its runs after its agent's last report, in milliseconds
@@ -65,14 +65,14 @@
     public Scheduler(
             String self,
             StateStore store,
-            OfficeWatch office,
+            LeaderWatch leader,
             Supplier<Map<String, Integer>> guarantees,
             Clock clock,
             long leaseMs,
             MeterRegistry metrics) {
         this.self = self;
         this.store = store;
-        this.office = office;
+        this.leader = leader;
         this.guarantees = guarantees;
         this.clock = clock;
         this.leaseMs = leaseMs;
@@ -80,21 +80,21 @@
         thread.setDaemon(true);
     }
 
-    /** Starts to stand for the office. */
+    /** Starts to run for leader. */
     public void start() {
         thread.start();
     }
 
     /** Tells whether this entry schedules. */
-    public boolean inOffice() {
+    public boolean isLeader() {
         return term != null;
     }
 
     private void run() {
         while (!closed) {
             try {
-                if (doubt || office.vacantFor(self, VACANT_AFTER_MS)) {
-                    stand();
+                if (outcomeUnknown || leader.seemsMissing(self, MISSING_AFTER_MS)) {
+                    campaign();
                 } else {
                     Thread.sleep(CANDIDATE_PAUSE_MS);
                 }
@@ -105,14 +105,14 @@
                 term = null;
                 PollenreachException failure = PollenreachException.of(e);
                 EVENTS.warn(
-                        "scheduler-out-of-office",
+                        "leadership-lost",
                         "entry",
                         self,
                         "code",
                         failure.code().number(),
                         "error",
                         failure.getMessage());
-                doubt = failure.code() == ResultCode.WRITE_UNKNOWN && !closed;
+                outcomeUnknown = failure.code() == ResultCode.WRITE_UNKNOWN && !closed;
                 if (failure.code() == ResultCode.INTERNAL) {
                     EVENTS.warn("scheduler-failed", "error", String.valueOf(e.getCause()), "at", e.getStackTrace()[0]);
                 }
@@ -125,35 +125,35 @@
         EVENTS.info(event, keysAndValues);
     }
 
-    private void stand() throws InterruptedException {
-        long seen = office.termVersion();
-        if (!doubt) {
+    private void campaign() throws InterruptedException {
+        long seen = leader.termVersion();
+        if (!outcomeUnknown) {
             Thread.sleep(ThreadLocalRandom.current().nextLong(JITTER_MS));
         }
-        Optional<StoredRow> row = store.get(Tables.OFFICE, Tables.TERM).join();
+        Optional<StoredRow> row = store.get(Tables.LEADER, Tables.TERM).join();
         long version = row.map(StoredRow::version).orElse(0L);
-        String holder = row.flatMap(r -> RowCodec.fromRow(r, OfficeRows.Term.class))
-                .map(OfficeRows.Term::holder)
+        String holder = row.flatMap(r -> RowCodec.fromRow(r, LeaderRows.Term.class))
+                .map(LeaderRows.Term::holder)
                 .orElse("");
-        // Another entry may have taken office since it was seen to be vacant.
-        if (!holder.isEmpty() && !holder.equals(self) && (doubt || version != seen)) {
-            doubt = false;
+        // Another entry may have become leader since none was seen.
+        if (!holder.isEmpty() && !holder.equals(self) && (outcomeUnknown || version != seen)) {
+            outcomeUnknown = false;
             return;
         }
         Transaction tx = new Transaction()
-                .expect(Tables.OFFICE, Tables.TERM, version)
-                .write(Tables.OFFICE, Tables.TERM, RowCodec.toValue(new OfficeRows.Term(self)));
+                .expect(Tables.LEADER, Tables.TERM, version)
+                .write(Tables.LEADER, Tables.TERM, RowCodec.toValue(new LeaderRows.Term(self)));
         long taken = store.commit(tx).join();
-        doubt = false;
-        EVENTS.info("scheduler-in-office", "entry", self, "term", taken, "before", holder);
-        Term t = new Term(self, taken, store, office, guarantees, clock, leaseMs, this::note);
+        outcomeUnknown = false;
+        EVENTS.info("leader-elected", "entry", self, "term", taken, "before", holder);
+        Term t = new Term(self, taken, store, leader, guarantees, clock, leaseMs, this::note);
         term = t;
         try {
             t.load();
             while (!closed) {
                 t.step();
             }
-            t.resign();
+            t.stepDown();
         } finally {
             term = null;
             t.close();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -29,7 +29,7 @@
 import io.pollenreach.internal.batch.WorkerReport;
 
 /**
- * One term in office: reads everything, then decides on each change and stores what it decided.
+ * One term of a leader: reads everything, then decides on each change and stores what it decided.
  *
  * <p>Only the scheduler's thread calls it, but for {@link #wake()}; watches hand their rows over through a queue.
  */
@@ -57,7 +57,7 @@
     private final String self;
     private final long version;
     private final StateStore store;
-    private final OfficeWatch office;
+    private final LeaderWatch leader;
     private final Supplier<Map<String, Integer>> guarantees;
     private final Clock clock;
     private final long lostAfterMs;
@@ -75,7 +75,7 @@
             String self,
             long version,
             StateStore store,
-            OfficeWatch office,
+            LeaderWatch leader,
             Supplier<Map<String, Integer>> guarantees,
             Clock clock,
             long leaseMs,
@@ -83,7 +83,7 @@
         this.self = self;
         this.version = version;
         this.store = store;
-        this.office = office;
+        this.leader = leader;
         this.guarantees = guarantees;
         this.clock = clock;
         book = new ClusterBook(log);
@@ -111,7 +111,7 @@
         book.restored(nowMs);
         follow(Tables.JOBS, jobs.join().version(), this::acceptJob);
         follow(Tables.CANCELS, cancels.join().version(), r -> book.cancel(r.key(), clock.nowMs()));
-        workersWatch = follow(Tables.WORKERS, workers.join().version(), this::hear);
+        workersWatch = follow(Tables.WORKERS, workers.join().version(), this::takeReport);
         EVENTS.info(
                 "term-loaded",
                 "term",
@@ -144,14 +144,14 @@
         RowCodec.fromRow(row, WorkerReport.class).ifPresent(report -> {
             StoredRow orders = ordersByAgent.get(report.agent());
             WorkOrders known = orders == null
-                    ? WorkOrders.none(report.life())
-                    : RowCodec.fromRow(orders, WorkOrders.class).orElse(WorkOrders.none(report.life()));
+                    ? WorkOrders.none(report.incarnation())
+                    : RowCodec.fromRow(orders, WorkOrders.class).orElse(WorkOrders.none(report.incarnation()));
             book.restore(
                     report,
                     row.version(),
                     known,
                     orders == null ? 0 : orders.version(),
-                    office.writtenBeforeMs(row.version()));
+                    leader.writtenBeforeMs(row.version()));
         });
     }
 
@@ -184,7 +184,7 @@
         RowCodec.fromRow(row, BatchJob.class).ifPresent(j -> book.accept(j, row.version(), clock.nowMs()));
     }
 
-    private void hear(StoredRow row) {
+    private void takeReport(StoredRow row) {
         RowCodec.fromRow(row, WorkerReport.class).ifPresent(r -> book.report(r, row.version(), clock.nowMs()));
     }
 
@@ -208,7 +208,7 @@
     }
 
     private void loseSilentWorkers(long nowMs) throws InterruptedException {
-        if (!office.healthyFor(RETURN_MS) || !workersWatch.healthyFor(0)) {
+        if (!leader.healthyFor(RETURN_MS) || !workersWatch.healthyFor(0)) {
             return;
         }
         for (WorkerReport report : book.silentFor(lostAfterMs, nowMs)) {
@@ -223,8 +223,8 @@
                         "worker-declared-lost",
                         "worker",
                         report.agent(),
-                        "life",
-                        report.life(),
+                        "incarnation",
+                        report.incarnation(),
                         "report",
                         reportVersion);
                 book.report(lost, at, nowMs);
@@ -242,12 +242,12 @@
     }
 
     private Transaction guarded() {
-        return new Transaction().expect(Tables.OFFICE, Tables.TERM, version);
+        return new Transaction().expect(Tables.LEADER, Tables.TERM, version);
     }
 
     /** Fails unless this term is still the one in the store. */
     private void checkTerm() {
-        long now = store.get(Tables.OFFICE, Tables.TERM)
+        long now = store.get(Tables.LEADER, Tables.TERM)
                 .join()
                 .map(StoredRow::version)
                 .orElse(0L);
@@ -279,8 +279,8 @@
     private List<Transaction> transactions(ClusterBook.Changes changes) {
         List<Transaction> all = new ArrayList<>();
         Transaction tx = guarded();
-        OfficeRows.Beat beat = new OfficeRows.Beat(self, ++beats, book.waitingByQueue());
-        tx.write(Tables.OFFICE, Tables.BEAT, RowCodec.toValue(beat));
+        LeaderRows.Beat beat = new LeaderRows.Beat(self, ++beats, book.waitingByQueue());
+        tx.write(Tables.LEADER, Tables.BEAT, RowCodec.toValue(beat));
         for (Map.Entry<String, ProgressRow> j : changes.jobs().entrySet()) {
             tx = roomIn(tx, all);
             tx.write(Tables.PROGRESS, j.getKey(), RowCodec.toValue(j.getValue()));
@@ -328,11 +328,11 @@
         }
     }
 
-    /** Gives up the office so that another entry need not wait. */
-    void resign() {
-        Transaction tx = guarded().write(Tables.OFFICE, Tables.TERM, RowCodec.toValue(new OfficeRows.Term("")));
+    /** Steps down so that another entry need not wait. */
+    void stepDown() {
+        Transaction tx = guarded().write(Tables.LEADER, Tables.TERM, RowCodec.toValue(new LeaderRows.Term("")));
         store.commit(tx).join();
-        EVENTS.info("scheduler-resigned", "entry", self, "term", version);
+        EVENTS.info("leader-stepped-down", "entry", self, "term", version);
     }
 
     void wake() {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/package-info.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/package-info.java
@@ -1,2 +1,2 @@
-/** The scheduler in office: one of the entries decides where tasks run, and the store arbitrates which. */
+/** The scheduler: one of the entries is elected leader and decides where tasks run; the store arbitrates which. */
 package io.pollenreach.daemon.internal.scheduler;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/Tables.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/Tables.java
@@ -8,7 +8,7 @@
     /** A row a job, written once when it is accepted. */
     public static final String JOBS = "jobs";
 
-    /** A row a job that the scheduler in office has taken up; only it writes them. */
+    /** A row a job that the leader has taken up; only it writes them. */
     public static final String PROGRESS = "progress";
 
     /** A row a cancelled job, written by entries. */
@@ -18,12 +18,12 @@
     public static final String WORKERS = "workers";
 
     /** Who schedules: the rows {@link #TERM} and {@link #BEAT}. */
-    public static final String OFFICE = "office";
+    public static final String LEADER = "leader";
 
-    /** The row whose version every write of the scheduler in office depends on; it changes with the holder only. */
+    /** The row whose version every write of the leader depends on; it changes with the leader only. */
     public static final String TERM = "term";
 
-    /** The row by which the scheduler in office shows that it works, and publishes its counts. */
+    /** The row by which the leader shows that it works, and publishes its counts. */
     public static final String BEAT = "beat";
 
     /** Tables of orders: an agent follows one, so that most changes wake only the agents that they concern. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Claims.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Claims.java
@@ -44,17 +44,18 @@
         return row.flatMap(r -> RowCodec.fromRow(r, WorkerReport.class));
     }
 
-    /** Claims a worker: goes on with its life when the store has it under the same process, else begins a new one. */
-    CompletableFuture<Life> claim(RunnerFacts worker) {
+    /** Claims a worker: goes on with its incarnation when the store has it under the same process, else begins a new one. */
+    CompletableFuture<Incarnation> claim(RunnerFacts worker) {
         return stored().thenCompose(row -> claim(worker, row));
     }
 
-    private CompletableFuture<Life> claim(RunnerFacts worker, Optional<StoredRow> row) {
+    private CompletableFuture<Incarnation> claim(RunnerFacts worker, Optional<StoredRow> row) {
         long before = row.map(StoredRow::version).orElse(0L);
         Optional<WorkerReport> known = report(row);
         Optional<WorkerReport> same =
                 known.filter(r -> !r.lost() && r.instance().equals(worker.instance()) && r.bornMs() == worker.bornMs());
-        String id = same.map(WorkerReport::life).orElse(worker.instance() + "@" + worker.bornMs() + "/" + before);
+        String id =
+                same.map(WorkerReport::incarnation).orElse(worker.instance() + "@" + worker.bornMs() + "/" + before);
         List<RunEnd> former = known.map(r -> formerEnds(r, same.isPresent())).orElse(List.of());
         long sequence = same.map(WorkerReport::sequence).orElse(0L) + 1;
         WorkerReport claim = worker.report(agent, id, false, sequence)
@@ -67,15 +68,15 @@
                 .expect(Tables.WORKERS, agent, before)
                 .write(Tables.WORKERS, agent, RowCodec.toValue(claim));
         return store.commit(tx).thenApply(version -> {
-            EVENTS.info("worker-claimed", "life", id, "token", version, "continued", same.isPresent());
-            return new Life(worker, version, claim);
+            EVENTS.info("worker-claimed", "incarnation", id, "token", version, "continued", same.isPresent());
+            return new Incarnation(worker, version, claim);
         });
     }
 
     // They were acknowledged to the worker, so this row is the only place that has them.
-    private static List<RunEnd> formerEnds(WorkerReport before, boolean sameLife) {
+    private static List<RunEnd> formerEnds(WorkerReport before, boolean sameIncarnation) {
         List<RunEnd> all = new ArrayList<>(before.formerEnds());
-        if (!sameLife) {
+        if (!sameIncarnation) {
             before.ends().stream().filter(e -> e.number() > 0).forEach(all::add);
         }
         return all;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Life.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
@@ -11,12 +11,12 @@
  *
  * <p>Not safe for use by many threads: the agent's thread owns it.
  */
-final class Life {
+final class Incarnation {
     final RunnerFacts worker;
     final String id;
     final long token;
     final LocalRuns runs = new LocalRuns();
-    /** Ends of earlier lives that the scheduler may not have read. */
+    /** Ends of earlier incarnations that the scheduler may not have read. */
     List<RunEnd> formerEnds;
     /** The store's version of this agent's row, on which the next report depends. */
     long rowVersion;
@@ -29,23 +29,23 @@
     /** Whether the worker runs nothing that this agent does not account for. */
     boolean settled;
 
-    boolean looking;
+    boolean polling;
     boolean reporting;
     boolean reportSoon = true;
     long reportedMs;
     long reportNotBeforeMs;
-    long lookedMs;
-    /** The worker's clock at the last look, in milliseconds. */
+    long polledMs;
+    /** The worker's clock at the last poll, in milliseconds. */
     long runnerClockMs;
     /** The end of the lease on the worker's clock, in milliseconds; 0 for none. */
     long leaseUntilMs;
     /** The number of the newest end that the store has. */
     long endsStored;
 
-    Life(RunnerFacts worker, long token, WorkerReport claim) {
+    Incarnation(RunnerFacts worker, long token, WorkerReport claim) {
         this.worker = worker;
         this.token = token;
-        id = claim.life();
+        id = claim.incarnation();
         sequence = claim.sequence();
         formerEnds = claim.formerEnds();
         rowVersion = token;
@@ -57,7 +57,7 @@
     }
 
     /** Tells whether the worker process has ended and none has followed. */
-    boolean vacant() {
+    boolean hasNoWorker() {
         return worker.instance().isEmpty();
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
@@ -16,9 +16,9 @@
 import io.pollenreach.internal.batch.WorkOrders;
 
 /**
- * The runs of one life of a worker: what is ordered, what the worker says, and what follows.
+ * The runs of one incarnation of a worker: what is ordered, what the worker says, and what follows.
  *
- * <p>Invariants: a run counts as active from its order until its end was listed, it was refused for good, or a look that
+ * <p>Invariants: a run counts as active from its order until its end was listed, it was refused for good, or a poll that
  * was sent after a confirmed stop no longer shows it; an end is reported until the scheduler has taken it. Not safe for
  * use by many threads: the agent's thread owns it.
  */
@@ -35,7 +35,7 @@
         private Status status = Status.NEW;
         private int attempts;
         private long retryMs;
-        private int missedLooks;
+        private int missedPolls;
 
         Run(WorkOrders.OrderedRun order) {
             this.order = order;
@@ -56,8 +56,8 @@
         }
     }
 
-    /** Looks without a run, after its start was confirmed, that show it to be gone. */
-    private static final int LOOKS_TO_MISS = 2;
+    /** Polls without a run, after its start was confirmed, that show it to be gone. */
+    private static final int POLLS_TO_MISS = 2;
 
     private final Map<TaskRun, Run> ordered = new LinkedHashMap<>();
     private final Map<TaskRun, Stopping> stopping = new LinkedHashMap<>();
@@ -162,11 +162,11 @@
             run.status = Status.RUNNING;
         }
         if (run.status != Status.RUNNING || running.containsKey(id)) {
-            run.missedLooks = 0;
+            run.missedPolls = 0;
             return false;
         }
-        run.missedLooks++;
-        if (run.missedLooks < LOOKS_TO_MISS) {
+        run.missedPolls++;
+        if (run.missedPolls < POLLS_TO_MISS) {
             return false;
         }
         ordered.remove(id);
@@ -203,7 +203,7 @@
         Run r = ordered.get(run);
         if (r != null) {
             r.status = Status.RUNNING;
-            r.missedLooks = 0;
+            r.missedPolls = 0;
         }
     }
 
@@ -258,6 +258,11 @@
                 .toList();
     }
 
+    /** Tells whether every run of a list was ordered or is being stopped. */
+    boolean accountsFor(List<RunningTask> list) {
+        return list.stream().allMatch(r -> ordered.containsKey(r.run()) || stopping.containsKey(r.run()));
+    }
+
     /** Returns the ends that the scheduler has not taken. */
     List<RunEnd> ends() {
         List<RunEnd> all = new ArrayList<>(ends.values());
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
@@ -22,14 +22,14 @@
 final class Reporter {
     /** What a reporter needs of its agent. */
     interface Host {
-        /** Tells whether a life is the one that the agent speaks for. */
-        boolean isCurrent(Life life);
+        /** Tells whether an incarnation is the one that the agent speaks for. */
+        boolean isCurrent(Incarnation incarnation);
 
-        /** Returns the newest announcement of the worker. */
+        /** Returns the newest heartbeat of the worker. */
         RunnerFacts newestFacts();
 
         /** Takes the news that a report was stored. */
-        void stored(Life life);
+        void stored(Incarnation incarnation);
 
         /** Takes the news that somebody else has written the worker's row. */
         void claimLost();
@@ -50,8 +50,8 @@
     /** The same for a worker that runs nothing; the scheduler places on workers that reported within 3.5 s. */
     static final long IDLE_REPORT_MS = 2_500;
 
-    /** A look that gave no answer this long ago says nothing of the worker any more, in milliseconds. */
-    private static final long STALE_LOOK_MS = 1_500;
+    /** A poll that gave no answer this long ago says nothing of the worker any more, in milliseconds. */
+    private static final long STALE_POLL_MS = 1_500;
 
     /** Several times what a report usually takes, in milliseconds. */
     private static final long OVERDUE_MS = 200;
@@ -76,38 +76,38 @@
     }
 
     /** Tells whether a report has been under way for so long that the lease will have to be extended at once. */
-    boolean isOverdue(Life l) {
-        return l.reporting && clock.nowMs() - l.reportedMs > OVERDUE_MS;
+    boolean isOverdue(Incarnation inc) {
+        return inc.reporting && clock.nowMs() - inc.reportedMs > OVERDUE_MS;
     }
 
     /** Sends a report when one is due. */
-    void reportWhenDue(Life l) {
+    void reportWhenDue(Incarnation inc) {
         long nowMs = clock.nowMs();
-        boolean left = l.vacant();
-        boolean heardOfWorker = left || l.lookedMs > 0 && nowMs - l.lookedMs < STALE_LOOK_MS;
-        long periodMs = l.runs.idle() ? IDLE_REPORT_MS : REPORT_MS;
-        boolean due = l.reportSoon || !left && nowMs - l.reportedMs >= periodMs;
-        boolean held = l.reporting || nowMs < l.reportNotBeforeMs;
-        if (held || l.ordersSeen == 0 || !due || !heardOfWorker || !host.isCurrent(l)) {
+        boolean left = inc.hasNoWorker();
+        boolean heardOfWorker = left || inc.polledMs > 0 && nowMs - inc.polledMs < STALE_POLL_MS;
+        long periodMs = inc.runs.idle() ? IDLE_REPORT_MS : REPORT_MS;
+        boolean due = inc.reportSoon || !left && nowMs - inc.reportedMs >= periodMs;
+        boolean held = inc.reporting || nowMs < inc.reportNotBeforeMs;
+        if (held || inc.ordersSeen == 0 || !due || !heardOfWorker || !host.isCurrent(inc)) {
             return;
         }
-        l.reporting = true;
-        l.reportSoon = false;
-        l.reportedMs = nowMs;
-        Draft draft = new Draft(l.nextReport(agent, host.newestFacts()), l.runnerClockMs, l.runs.newestEnd());
-        claims.write(l.rowVersion, draft.report(), WRITE_TIMEOUT_MS)
-                .whenCompleteAsync((v, t) -> sent(l, draft, v, t), thread);
+        inc.reporting = true;
+        inc.reportSoon = false;
+        inc.reportedMs = nowMs;
+        Draft draft = new Draft(inc.nextReport(agent, host.newestFacts()), inc.runnerClockMs, inc.runs.newestEnd());
+        claims.write(inc.rowVersion, draft.report(), WRITE_TIMEOUT_MS)
+                .whenCompleteAsync((v, t) -> sent(inc, draft, v, t), thread);
     }
 
     /** A report, with what may be done once the store has it. Immutable. */
     private record Draft(WorkerReport report, long runnerClockMs, long newestEnd) {}
 
-    private void sent(Life l, Draft draft, Long version, Throwable t) {
-        if (!host.isCurrent(l)) {
+    private void sent(Incarnation inc, Draft draft, Long version, Throwable t) {
+        if (!host.isCurrent(inc)) {
             return;
         }
         if (t == null) {
-            confirmed(l, draft, version);
+            confirmed(inc, draft, version);
             return;
         }
         PollenreachException e = PollenreachException.of(t);
@@ -120,58 +120,58 @@
                 "error",
                 e.getMessage());
         if (e.code() == ResultCode.PLATFORM_UNAVAILABLE) {
-            l.reporting = false;
-            l.reportSoon = true;
+            inc.reporting = false;
+            inc.reportSoon = true;
             // Agents that are refused together must not come back together.
-            l.reportNotBeforeMs = clock.nowMs() + ThreadLocalRandom.current().nextLong(RETRY_MS, 3 * RETRY_MS);
+            inc.reportNotBeforeMs = clock.nowMs() + ThreadLocalRandom.current().nextLong(RETRY_MS, 3 * RETRY_MS);
             return;
         }
-        host.later(() -> readBack(l, draft));
+        host.later(() -> readBack(inc, draft));
     }
 
-    private void confirmed(Life l, Draft draft, long version) {
-        l.rowVersion = version;
-        l.reporting = false;
-        l.leaseUntilMs = Math.max(l.leaseUntilMs, draft.runnerClockMs() + leaseMs);
-        l.endsStored = Math.max(l.endsStored, draft.newestEnd());
-        host.stored(l);
-        reportWhenDue(l);
+    private void confirmed(Incarnation inc, Draft draft, long version) {
+        inc.rowVersion = version;
+        inc.reporting = false;
+        inc.leaseUntilMs = Math.max(inc.leaseUntilMs, draft.runnerClockMs() + leaseMs);
+        inc.endsStored = Math.max(inc.endsStored, draft.newestEnd());
+        host.stored(inc);
+        reportWhenDue(inc);
     }
 
-    private void readBack(Life l, Draft draft) {
-        if (!host.isCurrent(l)) {
+    private void readBack(Incarnation inc, Draft draft) {
+        if (!host.isCurrent(inc)) {
             return;
         }
         claims.stored()
                 .orTimeout(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .whenCompleteAsync((row, t) -> compare(l, draft, row, t), thread);
+                .whenCompleteAsync((row, t) -> compare(inc, draft, row, t), thread);
     }
 
-    private void compare(Life l, Draft draft, Optional<StoredRow> row, Throwable t) {
-        if (!host.isCurrent(l)) {
+    private void compare(Incarnation inc, Draft draft, Optional<StoredRow> row, Throwable t) {
+        if (!host.isCurrent(inc)) {
             return;
         }
         if (t != null) {
-            host.later(() -> readBack(l, draft));
+            host.later(() -> readBack(inc, draft));
             return;
         }
         long version = row.map(StoredRow::version).orElse(0L);
-        if (version == l.rowVersion) {
+        if (version == inc.rowVersion) {
             // Not written, or not yet: a late write would then meet a newer version and fail.
-            l.reporting = false;
-            l.reportSoon = true;
+            inc.reporting = false;
+            inc.reportSoon = true;
             return;
         }
         Optional<WorkerReport> stored = Claims.report(row);
         boolean mine = stored.map(r -> !r.lost()
-                        && r.life().equals(l.id)
+                        && r.incarnation().equals(inc.id)
                         && r.sequence() == draft.report().sequence())
                 .orElse(false);
         if (mine) {
-            confirmed(l, draft, version);
+            confirmed(inc, draft, version);
             return;
         }
-        EVENTS.warn("claim-lost", "life", l.id, "lost", stored.map(WorkerReport::lost), "version", version);
+        EVENTS.warn("claim-lost", "incarnation", inc.id, "lost", stored.map(WorkerReport::lost), "version", version);
         host.claimLost();
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/RunnerFacts.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/RunnerFacts.java
@@ -12,7 +12,7 @@
  *
  * @param instance the platform's name of the process
  * @param bornMs when it started, in milliseconds since the Unix epoch; 0 when not told
- * @param sequence rises with each announcement of one process
+ * @param sequence rises with each heartbeat of one process
  * @param pool the pool that it belongs to
  * @param zone its availability zone
  * @param draining whether it is about to leave
@@ -34,17 +34,17 @@
         labels = List.copyOf(labels);
     }
 
-    /** Returns what an earlier process of the agent reported; the next announcement tells whether it drains. */
+    /** Returns what an earlier process of the agent reported; the next heartbeat tells whether it drains. */
     static RunnerFacts of(WorkerReport r) {
         return new RunnerFacts(
                 r.instance(), r.bornMs(), 0, r.pool(), r.zone(), !r.takesTasks(), r.capacity(), r.labels(), r.rack());
     }
 
     /** Begins a report of the worker; it names no runs. */
-    WorkerReport report(String agent, String life, boolean takesTasks, long sequence) {
+    WorkerReport report(String agent, String incarnation, boolean takesTasks, long sequence) {
         return new WorkerReport(
                 agent,
-                life,
+                incarnation,
                 instance,
                 bornMs,
                 pool,
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
@@ -69,5 +69,5 @@
      * @param leaseUntilMs a time on the worker's clock until which it keeps its runs
      * @param waitMs how long the worker may wait for an end before it answers, in milliseconds
      */
-    CompletableFuture<RunnerView> look(Authority by, long endsUpTo, OptionalLong leaseUntilMs, long waitMs);
+    CompletableFuture<RunnerView> poll(Authority by, long endsUpTo, OptionalLong leaseUntilMs, long waitMs);
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
@@ -26,20 +26,20 @@
  * <p>Invariants: the worker's lease never reaches further than {@code leaseMs} past a reading of the worker's clock that
  * was taken before a report which the store confirmed; ends are acknowledged to the worker only after they stand in a
  * confirmed report; the fencing token is the store's version of the claim under which this process speaks, so that orders
- * of earlier processes and lives are void. All state belongs to one thread. Safe for use by many threads.
+ * of earlier processes and incarnations are void. All state belongs to one thread. Safe for use by many threads.
  */
 public final class WorkAgent implements AutoCloseable {
-    /** How long the worker waits for an end before it answers a look, in milliseconds; half a report's period. */
-    private static final long LOOK_WAIT_MS = 350;
+    /** How long the worker waits for an end before it answers a poll, in milliseconds; half a report's period. */
+    private static final long POLL_WAIT_MS = 350;
 
     /** The same while a report is overdue, in milliseconds, so that the lease is extended as soon as it may be. */
-    private static final long SHORT_LOOK_WAIT_MS = 80;
+    private static final long SHORT_POLL_WAIT_MS = 80;
 
     /** The shortest lease with which an order to start is worth sending, in milliseconds. */
     private static final long MIN_LEASE_MS = 500;
 
-    /** Pause between looks while ends wait to be stored, in milliseconds; a report takes some ten. */
-    private static final long UNSTORED_LOOK_MS = 25;
+    /** Pause between polls while ends wait to be stored, in milliseconds; a report takes some ten. */
+    private static final long UNSTORED_POLL_MS = 25;
 
     /**
      * How long one call waits for orders, in milliseconds. A channel may fall silent without a sign, so this and the call's
@@ -59,7 +59,7 @@
     private final Reporter reporter;
     private final ScheduledThreadPoolExecutor thread;
     private RunnerFacts facts;
-    private Life life;
+    private Incarnation incarnation;
     private boolean claiming;
     private volatile boolean closed;
 
@@ -111,40 +111,39 @@
         });
     }
 
-    /** Takes a worker's announcement of itself. */
-    public void heard(RunnerFacts heard) {
-        thread.execute(() -> guarded(() -> hear(heard)));
+    /** Takes a worker's heartbeat. */
+    public void heartbeat(RunnerFacts sent) {
+        thread.execute(() -> guarded(() -> take(sent)));
     }
 
-    private void hear(RunnerFacts heard) {
-        if (facts != null && facts.sameProcess(heard)) {
-            if (heard.sequence() < facts.sequence()) {
+    private void take(RunnerFacts sent) {
+        if (facts != null && facts.sameProcess(sent)) {
+            if (sent.sequence() < facts.sequence()) {
                 return;
             }
             boolean changed =
-                    heard.draining() != facts.draining() || !heard.capacity().equals(facts.capacity());
-            facts = heard;
+                    sent.draining() != facts.draining() || !sent.capacity().equals(facts.capacity());
+            facts = sent;
             if (changed) {
-                EVENTS.info("worker-changed", "instance", heard.instance(), "draining", heard.draining());
+                EVENTS.info("worker-changed", "instance", sent.instance(), "draining", sent.draining());
                 reportNow();
             }
             return;
         }
-        if (facts != null && heard.bornMs() < facts.bornMs()) {
-            EVENTS.info(
-                    "old-announcement", "instance", heard.instance(), "born", heard.bornMs(), "known", facts.bornMs());
+        if (facts != null && sent.bornMs() < facts.bornMs()) {
+            EVENTS.info("stale-heartbeat", "instance", sent.instance(), "born", sent.bornMs(), "known", facts.bornMs());
             return;
         }
-        EVENTS.info("worker-announced", "worker", heard);
-        facts = heard;
+        EVENTS.info("worker-found", "worker", sent);
+        facts = sent;
         claim();
     }
 
     /** Takes the news that a worker process has ended as planned. */
-    public void left(String instance) {
+    public void deregistered(String instance) {
         thread.execute(() -> guarded(() -> {
             if (facts != null && facts.instance().equals(instance)) {
-                EVENTS.info("worker-left", "instance", instance);
+                EVENTS.info("worker-deregistered", "instance", instance);
                 facts = new RunnerFacts(
                         "", facts.bornMs(), 0, facts.pool(), facts.zone(), true, Resources.NONE, List.of(), "");
                 claim();
@@ -177,14 +176,14 @@
     }
 
     private void drop() {
-        if (life != null && life.watch != null) {
-            life.watch.close();
+        if (incarnation != null && incarnation.watch != null) {
+            incarnation.watch.close();
         }
-        life = null;
+        incarnation = null;
     }
 
-    private void begin(Life claimed) {
-        life = claimed;
+    private void begin(Incarnation claimed) {
+        incarnation = claimed;
         TableWatch.Listener listener = new TableWatch.Listener() {
             @Override
             public void snapshot(Rows rows) {
@@ -202,119 +201,123 @@
         claimed.watch.start();
     }
 
-    private void takeOrders(Life l, Rows rows, boolean whole) {
-        if (l != life) {
+    private void takeOrders(Incarnation inc, Rows rows, boolean whole) {
+        if (inc != incarnation) {
             return;
         }
         Optional<StoredRow> row =
                 rows.rows().stream().filter(r -> r.key().equals(name)).reduce((a, b) -> b);
-        if (row.isEmpty() && !whole || row.map(r -> r.version() <= l.ordersSeen).orElse(false)) {
+        if (row.isEmpty() && !whole
+                || row.map(r -> r.version() <= inc.ordersSeen).orElse(false)) {
             return;
         }
         WorkOrders written =
                 row.flatMap(r -> RowCodec.fromRow(r, WorkOrders.class)).orElse(WorkOrders.none(""));
-        if (written.life().equals(l.id)) {
-            // The scheduler knows this life, so it has taken what earlier lives left.
-            l.formerEnds = List.of();
-        }
-        WorkOrders orders = written.life().equals(l.id) ? written : WorkOrders.none(l.id);
-        boolean first = l.ordersSeen == 0;
-        l.ordersSeen = row.map(StoredRow::version).orElse(1L);
-        boolean changed = l.runs.take(orders);
+        if (written.incarnation().equals(inc.id)) {
+            // The scheduler knows this incarnation, so it has taken what earlier incarnations left.
+            inc.formerEnds = List.of();
+        }
+        WorkOrders orders = written.incarnation().equals(inc.id) ? written : WorkOrders.none(inc.id);
+        boolean first = inc.ordersSeen == 0;
+        inc.ordersSeen = row.map(StoredRow::version).orElse(1L);
+        boolean changed = inc.runs.take(orders);
         if (first) {
-            look(l);
+            poll(inc);
         }
         if (!orders.stops().isEmpty()) {
-            l.reportSoon = true;
+            inc.reportSoon = true;
         }
         if (changed) {
-            act(l);
+            act(inc);
         }
-        reporter.reportWhenDue(l);
+        reporter.reportWhenDue(inc);
     }
 
-    private void look(Life l) {
-        if (l != life || l.looking || closed) {
+    private void poll(Incarnation inc) {
+        if (inc != incarnation || inc.polling || closed) {
             return;
         }
-        if (l.vacant()) {
-            reporter.reportWhenDue(l);
+        if (inc.hasNoWorker()) {
+            reporter.reportWhenDue(inc);
             return;
         }
-        l.looking = true;
+        inc.polling = true;
         long sentMs = clock.nowMs();
-        long usualMs = reporter.isOverdue(l) ? SHORT_LOOK_WAIT_MS : LOOK_WAIT_MS;
-        long waitMs = l.settled ? usualMs : 0;
-        OptionalLong until = l.leaseUntilMs > 0 ? OptionalLong.of(l.leaseUntilMs) : OptionalLong.empty();
-        runner.look(l.authority(), l.endsStored, until, waitMs)
-                .whenCompleteAsync((v, t) -> guarded(() -> looked(l, v, t, sentMs)), thread);
+        long usualMs = reporter.isOverdue(inc) ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
+        long waitMs = inc.settled ? usualMs : 0;
+        OptionalLong until = inc.leaseUntilMs > 0 ? OptionalLong.of(inc.leaseUntilMs) : OptionalLong.empty();
+        runner.poll(inc.authority(), inc.endsStored, until, waitMs)
+                .whenCompleteAsync((v, t) -> guarded(() -> polled(inc, v, t, sentMs)), thread);
     }
 
-    private void looked(Life l, TaskRunner.RunnerView view, Throwable t, long sentMs) {
-        l.looking = false;
-        if (l != life) {
+    private void polled(Incarnation inc, TaskRunner.RunnerView view, Throwable t, long sentMs) {
+        inc.polling = false;
+        if (inc != incarnation) {
             return;
         }
         if (t != null) {
-            lookFailed(l, PollenreachException.of(t));
+            pollFailed(inc, PollenreachException.of(t));
             return;
         }
-        if (view.bornMs().isPresent() && view.bornMs().get() != l.worker.bornMs()) {
-            EVENTS.info("worker-reborn", "life", l.id, "born", view.bornMs().get());
-            later(() -> look(l));
+        if (view.bornMs().isPresent() && view.bornMs().get() != inc.worker.bornMs()) {
+            EVENTS.info(
+                    "worker-reborn",
+                    "incarnation",
+                    inc.id,
+                    "born",
+                    view.bornMs().get());
+            later(() -> poll(inc));
             return;
         }
-        l.lookedMs = clock.nowMs();
-        l.runnerClockMs = view.clockMs();
-        if (l.runs.take(view, sentMs)) {
-            l.reportSoon = true;
+        inc.polledMs = clock.nowMs();
+        inc.runnerClockMs = view.clockMs();
+        if (inc.runs.take(view, sentMs)) {
+            inc.reportSoon = true;
         }
-        boolean clean = view.running().stream()
-                .allMatch(r -> l.runs.active().stream().anyMatch(a -> a.run().equals(r.run())));
-        if (!l.settled && clean) {
-            l.settled = true;
-            l.reportSoon = true;
+        if (!inc.settled && inc.runs.accountsFor(view.running())) {
+            inc.settled = true;
+            inc.reportSoon = true;
         }
-        reporter.reportWhenDue(l);
-        act(l);
-        if (l.runs.newestEnd() > l.endsStored) {
+        reporter.reportWhenDue(inc);
+        act(inc);
+        if (inc.runs.newestEnd() > inc.endsStored) {
             // The worker answers at once while it has ends to list, until the store has them.
-            thread.schedule(() -> guarded(() -> look(l)), UNSTORED_LOOK_MS, TimeUnit.MILLISECONDS);
+            thread.schedule(() -> guarded(() -> poll(inc)), UNSTORED_POLL_MS, TimeUnit.MILLISECONDS);
         } else {
-            look(l);
+            poll(inc);
         }
     }
 
-    private void lookFailed(Life l, PollenreachException e) {
-        warn("look-failed", "instance", l.worker.instance(), e);
+    private void pollFailed(Incarnation inc, PollenreachException e) {
+        warn("poll-failed", "instance", inc.worker.instance(), e);
         if (e.code() == ResultCode.STALE_ATTEMPT) {
             claim();
             return;
         }
-        later(() -> look(l));
+        later(() -> poll(inc));
     }
 
-    private void act(Life l) {
+    private void act(Incarnation inc) {
         long nowMs = clock.nowMs();
-        for (TaskRun run : l.runs.toStop(nowMs)) {
-            runner.stop(l.authority(), run).whenCompleteAsync((v, t) -> guarded(() -> stopped(l, run, t)), thread);
+        for (TaskRun run : inc.runs.toStop(nowMs)) {
+            runner.stop(inc.authority(), run).whenCompleteAsync((v, t) -> guarded(() -> stopped(inc, run, t)), thread);
         }
-        if (l.leaseUntilMs - l.runnerClockMs - (nowMs - l.lookedMs) < MIN_LEASE_MS) {
+        if (inc.leaseUntilMs - inc.runnerClockMs - (nowMs - inc.polledMs) < MIN_LEASE_MS) {
             return;
         }
-        for (WorkOrders.OrderedRun order : l.runs.toStart(nowMs)) {
+        for (WorkOrders.OrderedRun order : inc.runs.toStart(nowMs)) {
             if (facts.draining()) {
-                l.runs.abandon(order.run());
-                l.reportSoon = true;
+                inc.runs.abandon(order.run());
+                inc.reportSoon = true;
                 continue;
             }
-            runner.start(l.authority(), order, l.leaseUntilMs)
-                    .whenCompleteAsync((o, t) -> guarded(() -> started(l, order.run(), o, t)), thread);
+            runner.start(inc.authority(), order, inc.leaseUntilMs)
+                    .whenCompleteAsync((o, t) -> guarded(() -> started(inc, order.run(), o, t)), thread);
         }
     }
 
-    private void started(Life l, TaskRun run, TaskRunner.StartOutcome outcome, Throwable t) {
-        if (l != life) {
+    private void started(Incarnation inc, TaskRun run, TaskRunner.StartOutcome outcome, Throwable t) {
+        if (inc != incarnation) {
             return;
         }
         if (t != null) {
@@ -324,32 +327,32 @@
                 claim();
                 return;
             }
-            l.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
             return;
         }
         EVENTS.info("start-answered", "task", run.task(), "run", run.run(), "outcome", outcome);
         switch (outcome) {
                 // An end that the worker has yet to list tells how a run that is over went.
-            case STARTED, OVER -> l.runs.started(run);
+            case STARTED, OVER -> inc.runs.started(run);
             case LEASE_OVER -> {
-                l.runs.startFailed(run, clock.nowMs() + RETRY_MS);
-                l.reportSoon = true;
+                inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+                inc.reportSoon = true;
             }
             default -> {
-                l.runs.abandon(run);
-                l.reportSoon = true;
+                inc.runs.abandon(run);
+                inc.reportSoon = true;
             }
         }
-        reporter.reportWhenDue(l);
+        reporter.reportWhenDue(inc);
     }
 
-    private void stopped(Life l, TaskRun run, Throwable t) {
-        if (l != life) {
+    private void stopped(Incarnation inc, TaskRun run, Throwable t) {
+        if (inc != incarnation) {
             return;
         }
         if (t == null) {
             EVENTS.info("stop-answered", "task", run.task(), "run", run.run());
-            l.runs.stopped(run, clock.nowMs());
+            inc.runs.stopped(run, clock.nowMs());
             return;
         }
         PollenreachException e = PollenreachException.of(t);
@@ -358,24 +361,24 @@
             claim();
             return;
         }
-        l.runs.stopFailed(run, clock.nowMs() + RETRY_MS);
+        inc.runs.stopFailed(run, clock.nowMs() + RETRY_MS);
     }
 
     private void tick() {
-        Life l = life;
-        if (l == null) {
+        Incarnation inc = incarnation;
+        if (inc == null) {
             return;
         }
-        if (l.runs.waitsToSend()) {
-            act(l);
+        if (inc.runs.waitsToSend()) {
+            act(inc);
         }
-        reporter.reportWhenDue(l);
+        reporter.reportWhenDue(inc);
     }
 
     private void reportNow() {
-        if (life != null) {
-            life.reportSoon = true;
-            reporter.reportWhenDue(life);
+        if (incarnation != null) {
+            incarnation.reportSoon = true;
+            reporter.reportWhenDue(incarnation);
         }
     }
 
@@ -400,8 +403,8 @@
     /** What the reporter needs of this agent. */
     private final class Host implements Reporter.Host {
         @Override
-        public boolean isCurrent(Life l) {
-            return l == life && !closed;
+        public boolean isCurrent(Incarnation inc) {
+            return inc == incarnation && !closed;
         }
 
         @Override
@@ -410,8 +413,8 @@
         }
 
         @Override
-        public void stored(Life l) {
-            act(l);
+        public void stored(Incarnation inc) {
+            act(inc);
         }
 
         @Override
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
@@ -12,6 +12,8 @@
 import io.pollenreach.internal.batch.BatchJob;
 import io.pollenreach.internal.batch.JobPhase;
 import io.pollenreach.internal.batch.ProgressRow;
+import io.pollenreach.internal.batch.Resources;
+import io.pollenreach.internal.batch.StepSpec;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -22,7 +24,9 @@
     private final JobIntake intake = new JobIntake(store, () -> heard, Clock.system());
 
     private static BatchJob job(String id) {
-        return new BatchJob(id, "q", "team", "pool", 1, 3, "payload", List.of(), null);
+        StepSpec step =
+                new StepSpec(1, Resources.NONE, 0, List.of(), false, false, false, "", "", 0, false, false, false, 0);
+        return new BatchJob(id, "q", "team", "pool", 1, 3, "payload", List.of(step), null);
     }
 
     private static ResultCode failure(CompletableFuture<?> call) {
@@ -58,7 +62,8 @@
         assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
     }
 
-    // Submissions to a silent store ended in doubt, after which submitters do not come back (trouble-3 of rqt-pollen).
+    // Submissions to a silent store ended in outcomeUnknown, after which submitters do not come back (trouble-3 of
+    // rqt-pollen).
     @Test
     void sendsNothingToAStoreThatLeftAWriteUnansweredAndDoesNotAnswerAReadEither() {
         store.failCommits(ResultCode.WRITE_UNKNOWN);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -30,18 +30,18 @@
     private Term term;
 
     @BeforeEach
-    void takeOffice() {
-        store.put(Tables.OFFICE, Tables.TERM, RowCodec.toValue(new OfficeRows.Term("e1")));
+    void elect() {
+        store.put(Tables.LEADER, Tables.TERM, RowCodec.toValue(new LeaderRows.Term("e1")));
     }
 
     private void load() {
         long version =
-                store.get(Tables.OFFICE, Tables.TERM).join().orElseThrow().version();
+                store.get(Tables.LEADER, Tables.TERM).join().orElseThrow().version();
         term = new Term(
                 "e1",
                 version,
                 store,
-                new OfficeWatch(store, clock),
+                new LeaderWatch(store, clock),
                 () -> Map.of("lab", 8),
                 clock,
                 LEASE_MS,
@@ -52,7 +52,7 @@
     private void worker(String name) {
         WorkerReport report = new WorkerReport(
                 name,
-                name + "-life",
+                name + "-incarnation",
                 name,
                 1,
                 "pool",
@@ -114,11 +114,11 @@
     }
 
     @Test
-    void changesNothingOnceAnotherHasTakenOffice() {
+    void changesNothingOnceAnotherWasElected() {
         worker("w1");
         job("a", 1, "team", 2, 1);
         load();
-        store.put(Tables.OFFICE, Tables.TERM, RowCodec.toValue(new OfficeRows.Term("e2")));
+        store.put(Tables.LEADER, Tables.TERM, RowCodec.toValue(new LeaderRows.Term("e2")));
 
         assertThatThrownBy(term::step)
                 .satisfies(t -> assertThat(PollenreachException.of(t).code()).isEqualTo(ResultCode.CONFLICT));
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
@@ -23,10 +23,10 @@
         List<WorkOrders.OrderedRun> list = Arrays.stream(wanted)
                 .map(r -> new WorkOrders.OrderedRun(r, "payload", ""))
                 .toList();
-        return new WorkOrders("life", list, List.of(), 0);
+        return new WorkOrders("incarnation", list, List.of(), 0);
     }
 
-    private void look(List<RunningTask> running, List<RunEnd> ends, long sentMs) {
+    private void poll(List<RunningTask> running, List<RunEnd> ends, long sentMs) {
         runs.take(new TaskRunner.RunnerView(0, Optional.empty(), running, ends), sentMs);
     }
 
@@ -47,7 +47,7 @@
     @Test
     void neverRefusesARunThatIsAtWork() {
         runs.take(orders(RUN));
-        look(List.of(running(RUN)), List.of(), 1);
+        poll(List.of(running(RUN)), List.of(), 1);
 
         assertThat(runs.toStart(5)).isEmpty();
         assertThat(runs.ends()).isEmpty();
@@ -66,7 +66,7 @@
         assertThat(runs.active()).hasSize(1);
         assertThat(runs.toStop(2)).containsExactly(RUN);
         runs.stopped(RUN, 3);
-        look(List.of(), List.of(), 4);
+        poll(List.of(), List.of(), 4);
         assertThat(runs.active()).isEmpty();
         assertThat(runs.ends()).extracting(RunEnd::kind).containsExactly(EndKind.REFUSED);
     }
@@ -83,29 +83,29 @@
     }
 
     @Test
-    void keepsAStoppedRunActiveUntilALaterLookNoLongerShowsIt() {
+    void keepsAStoppedRunActiveUntilALaterPollNoLongerShowsIt() {
         runs.take(orders(RUN));
         runs.toStart(0);
         runs.started(RUN);
-        look(List.of(running(RUN)), List.of(), 1);
+        poll(List.of(running(RUN)), List.of(), 1);
 
         runs.take(orders());
         assertThat(runs.toStop(2)).containsExactly(RUN);
         runs.stopped(RUN, 3);
-        look(List.of(), List.of(), 2);
+        poll(List.of(), List.of(), 2);
         assertThat(runs.active()).hasSize(1);
-        look(List.of(), List.of(), 4);
+        poll(List.of(), List.of(), 4);
         assertThat(runs.active()).isEmpty();
     }
 
     @Test
     void reportsAnEndUntilTheSchedulerHasTakenIt() {
         runs.take(orders(RUN));
-        look(List.of(), List.of(new RunEnd(1, RUN, EndKind.DONE, "")), 1);
+        poll(List.of(), List.of(new RunEnd(1, RUN, EndKind.DONE, "")), 1);
         assertThat(runs.ends()).hasSize(1);
         assertThat(runs.newestEnd()).isEqualTo(1);
 
-        runs.take(new WorkOrders("life", List.of(), List.of(), 1));
+        runs.take(new WorkOrders("incarnation", List.of(), List.of(), 1));
 
         assertThat(runs.ends()).isEmpty();
     }
@@ -113,7 +113,7 @@
     @Test
     void doesNotStartAgainARunThatEnded() {
         runs.take(orders(RUN));
-        look(List.of(), List.of(new RunEnd(1, RUN, EndKind.DONE, "")), 1);
+        poll(List.of(), List.of(new RunEnd(1, RUN, EndKind.DONE, "")), 1);
 
         runs.take(orders(RUN));
 
@@ -122,21 +122,21 @@
 
     @Test
     void stopsWhatNobodyOrdered() {
-        look(List.of(running(RUN)), List.of(), 1);
+        poll(List.of(running(RUN)), List.of(), 1);
 
         assertThat(runs.toStop(2)).containsExactly(RUN);
         assertThat(runs.active()).hasSize(1);
     }
 
     @Test
-    void tellsThatAStartedRunIsGoneAfterTwoLooksWithoutIt() {
+    void tellsThatAStartedRunIsGoneAfterTwoPollsWithoutIt() {
         runs.take(orders(RUN));
         runs.toStart(0);
         runs.started(RUN);
 
-        look(List.of(), List.of(), 1);
+        poll(List.of(), List.of(), 1);
         assertThat(runs.ends()).isEmpty();
-        look(List.of(), List.of(), 2);
+        poll(List.of(), List.of(), 2);
 
         assertThat(runs.ends()).extracting(RunEnd::kind).containsExactly(EndKind.REFUSED);
     }
--- a/model/src/test/resources/placement.als
+++ b/model/src/test/resources/placement.als
@@ -1,42 +1,42 @@
 /*
  * The placement of one task by the rules of docs/PLATFORM.md.
  *
- * A life is one registration of a worker. Schedulers act on what they read when they took office and wrote since; any of
+ * A incarnation is one registration of a worker. Schedulers act on what they read when they took office and wrote since; any of
  * them may act at any time. An order that was sent may arrive late, often or never.
  * Lines with a tag in brackets are the rules that the tests break one at a time.
  */
 module placement
 
 sig Run {}
-sig Life {}
+sig Incarnation {}
 sig Scheduler {
-  var view: Run -> Life        // the orders as it knows them
+  var view: Run -> Incarnation        // the orders as it knows them
 }
 
 one sig Store {
   var office: one Scheduler,
-  var orders: Run -> Life,     // runs that are ordered or being stopped
+  var orders: Run -> Incarnation,     // runs that are ordered or being stopped
   var stops: set Run,
   var ends: set Run,           // done, as the agents' reports have them
-  var lost: set Life,
-  var done: lone Life          // any value: the task is recorded as done
+  var lost: set Incarnation,
+  var done: lone Incarnation          // any value: the task is recorded as done
 }
 
 one sig World {
   var placed: set Run,         // numbers are used once
-  var where: Run -> lone Life,
+  var where: Run -> lone Incarnation,
   var sent: set Run,
   var live: set Run,
   var over: set Run,
   var finished: set Run,       // ended by itself
   var acked: set Run,          // ends that the worker was told to forget
-  var leased: set Life
+  var leased: set Incarnation
 }
 
 pred init {
   no view and no orders and no stops and no ends and no lost and no done
   no placed and no where and no sent and no live and no over and no finished and no acked
-  World.leased = Life
+  World.leased = Incarnation
 }
 
 pred storeUnchanged {
@@ -48,7 +48,7 @@
 
 pred takeOffice[s: Scheduler] {
   office' = Store->s
-  view' = view - s->Run->Life + s->(Store.orders)
+  view' = view - s->Run->Incarnation + s->(Store.orders)
   orders' = orders and stops' = stops and lost' = lost and done' = done and placed' = placed and where' = where
   endsUnchanged and workersUnchanged
 }
@@ -57,7 +57,7 @@
   s = Store.office // [guarded]
 }
 
-pred place[s: Scheduler, r: Run, l: Life] {
+pred place[s: Scheduler, r: Run, l: Incarnation] {
   inOffice[s]
   no s.view // [free]
   no Store.done
@@ -110,7 +110,7 @@
 }
 
 pred drop[s: Scheduler, gone: set Run] {
-  orders' = orders - Store->gone->Life and view' = view - s->gone->Life
+  orders' = orders - Store->gone->Incarnation and view' = view - s->gone->Incarnation
   office' = office and placed' = placed and where' = where
   endsUnchanged and workersUnchanged
 }
@@ -145,7 +145,7 @@
   done' = done and stops' = stops and lost' = lost
 }
 
-pred lose[s: Scheduler, l: Life] {
+pred lose[s: Scheduler, l: Incarnation] {
   inOffice[s]
   l not in World.leased // [lapsed]
   l not in Store.lost
@@ -155,14 +155,14 @@
   done' = done and stops' = stops
 }
 
-pred lapse[l: Life] {
+pred lapse[l: Incarnation] {
   leased' = leased - World->l
   live' = live - World->(World.where).l and over' = over + World->(World.live & (World.where).l)
   sent' = sent and finished' = finished
   storeUnchanged and endsUnchanged
 }
 
-pred renew[l: Life] {
+pred renew[l: Incarnation] {
   l not in Store.lost // [confirmed]
   leased' = leased + World->l
   sent' = sent and live' = live and over' = over and finished' = finished
@@ -175,11 +175,11 @@
   init
   always (stutter
     or (some s: Scheduler | takeOffice[s])
-    or (some s: Scheduler, r: Run, l: Life | place[s, r, l])
+    or (some s: Scheduler, r: Run, l: Incarnation | place[s, r, l])
     or (some r: Run | send[r] or start[r] or finish[r] or reportEnd[r] or acknowledge[r] or carryOutStop[r])
     or (some s: Scheduler, r: Run | takeEnd[s, r] or stop[s, r] or seeGone[s, r])
-    or (some s: Scheduler, l: Life | lose[s, l])
-    or (some l: Life | lapse[l] or renew[l]))
+    or (some s: Scheduler, l: Incarnation | lose[s, l])
+    or (some l: Incarnation | lapse[l] or renew[l]))
 }
 
 assert OneRunAtATime { always lone World.live }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -91,11 +91,11 @@
     }
 
     private void addWorker(String name, String rack) throws Exception {
-        String announcements = Ports.freeAddress();
-        EmulatedWorker worker = new EmulatedWorker(IP, "i-" + name, rack, announcements, record);
+        String heartbeats = Ports.freeAddress();
+        EmulatedWorker worker = new EmulatedWorker(IP, "i-" + name, rack, heartbeats, record);
         workers.add(worker);
         List<String> lines = common(name);
-        lines.add("listen-addresses.control=" + announcements);
+        lines.add("listen-addresses.control=" + heartbeats);
         lines.add("app=" + IP + ":" + worker.port());
         start(Daemon.onPlatform("agent", name, directory, lines));
     }
