Read rows with empty fields as they were written

The same null ended the resumption of such an agent silently before. Change: empty fields are restored; the sample book of the tests passes all rows through their stored form; an agent's callbacks all run guarded, so that no failure is swallowed. Test: doesNotMissTheReportsOfAnAgentWithoutAWorker fails without the change.

--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -53,6 +53,9 @@
         capacity = capacity == null ? Resources.NONE : capacity;
         rack = rack == null ? "" : rack;
         zone = zone == null ? "" : zone;
+        // Rows leave out what is empty.
+        instance = instance == null ? "" : instance;
+        pool = pool == null ? "" : pool;
     }
 
     /** Returns the same report with the mark that the worker is lost. */
--- a/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
@@ -1,11 +1,15 @@
 package io.pollenreach.internal.batch;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
+import io.pollenreach.internal.json.Json;
+
 /** A book with workers that answer as told, and the rows that a store would hold. */
 final class SampleBook {
     static final long WALL_MS = 1_000_000;
@@ -43,7 +47,7 @@
     }
 
     void submit(Jobs job) {
-        BatchJob built = job.build();
+        BatchJob built = throughRow(job.build(), BatchJob.class);
         jobs.put(built.id(), built);
         book.accept(built, ++version, nowMs);
         pass(0);
@@ -129,19 +133,29 @@
                 false);
     }
 
-    private void report(WorkerReport report) {
+    private void report(WorkerReport written) {
+        WorkerReport report = throughRow(written, WorkerReport.class);
         reports.put(report.agent(), report);
         book.report(report, ++version, nowMs);
         pass(0);
     }
 
+    /** Returns what a reader of a row gets. */
+    private static <T> T throughRow(T written, Class<T> type) {
+        try {
+            return Json.lenient().readValue(Json.lenient().writeValueAsBytes(written), type);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Lets time pass, places, and stores what changed. */
     void pass(long ms) {
         nowMs += ms;
         book.plan(nowMs, WALL_MS + nowMs);
         ClusterBook.Changes changes = book.changes();
-        progress.putAll(changes.jobs());
-        orders.putAll(changes.workers());
+        changes.jobs().forEach((id, row) -> progress.put(id, throughRow(row, ProgressRow.class)));
+        changes.workers().forEach((name, row) -> orders.put(name, throughRow(row, WorkOrders.class)));
         book.committed(++version);
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
@@ -1,7 +1,6 @@
 package io.pollenreach.daemon.internal.work;
 
 import java.util.Optional;
-import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -34,6 +33,9 @@
         /** Takes the news that somebody else has written the worker's row. */
         void claimLost();
 
+        /** Runs something on the agent's thread. */
+        void execute(Runnable work);
+
         /** Runs something on the agent's thread a little later. */
         void later(Runnable work);
     }
@@ -63,15 +65,13 @@
     private final Claims claims;
     private final Clock clock;
     private final long leaseMs;
-    private final Executor thread;
     private final Host host;
 
-    Reporter(String agent, Claims claims, Clock clock, long leaseMs, Executor thread, Host host) {
+    Reporter(String agent, Claims claims, Clock clock, long leaseMs, Host host) {
         this.agent = agent;
         this.claims = claims;
         this.clock = clock;
         this.leaseMs = leaseMs;
-        this.thread = thread;
         this.host = host;
     }
 
@@ -96,7 +96,7 @@
         inc.reportedMs = nowMs;
         Draft draft = new Draft(inc.nextReport(agent, host.newestFacts()), inc.runnerClockMs, inc.runs.newestEnd());
         claims.write(inc.rowVersion, draft.report(), WRITE_TIMEOUT_MS)
-                .whenCompleteAsync((v, t) -> sent(inc, draft, v, t), thread);
+                .whenComplete((v, t) -> host.execute(() -> sent(inc, draft, v, t)));
     }
 
     /** A report, with what may be done once the store has it. Immutable. */
@@ -144,7 +144,7 @@
         }
         claims.stored()
                 .orTimeout(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .whenCompleteAsync((row, t) -> compare(inc, draft, row, t), thread);
+                .whenComplete((row, t) -> host.execute(() -> compare(inc, draft, row, t)));
     }
 
     private void compare(Incarnation inc, Draft draft, Optional<StoredRow> row, Throwable t) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
@@ -84,7 +84,7 @@
             return t;
         });
         thread.setRemoveOnCancelPolicy(true);
-        reporter = new Reporter(name, claims, clock, leaseMs, r -> thread.execute(() -> guarded(r)), new Host());
+        reporter = new Reporter(name, claims, clock, leaseMs, new Host());
     }
 
     /** Starts, and goes on with the worker that an earlier process of this agent looked after. */
@@ -94,7 +94,7 @@
     }
 
     private void resume() {
-        claims.stored().whenCompleteAsync(this::resumeWith, thread);
+        claims.stored().whenCompleteAsync((row, t) -> guarded(() -> resumeWith(row, t)), thread);
     }
 
     private void resumeWith(Optional<StoredRow> row, Throwable t) {
@@ -422,6 +422,11 @@
             claim();
         }
 
+        @Override
+        public void execute(Runnable work) {
+            thread.execute(() -> guarded(work));
+        }
+
         @Override
         public void later(Runnable work) {
             WorkAgent.this.later(work);
