Keep room for what waits, by the pace that runs report

Ruled out: waiting up to 0.6 s for room that forecasts promise before urgent tasks reclaim it. That part was taken out again. Change: whatever waits claims the workers that will have room for it soonest (Forecast: percent done over time, else the estimate). Tests failed first: keepsRoomForALargeTask..., leavesRoomThatALargeTask..., ForecastTest.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -28,8 +28,9 @@
 /**
  * A worker of the platform: runs tasks for a time that their payload gives, under a lease.
  *
- * <p>A payload is {@code work=MS} or {@code work=MS fails=N}: the first N runs of each task fail. Safe for use by many
- * threads.
+ * <p>A payload is {@code work=MS}, and may go on with {@code fails=N}: the first N runs of each task fail, {@code serves=MS}:
+ * the task lasts and has this tail latency while nothing disturbs it, or {@code disturbs=MS}: it adds this much to the
+ * latency of the others at full pace. Safe for use by many threads.
  */
 public final class EmulatedWorker implements AutoCloseable {
     /** Accelerators of each worker. */
@@ -47,14 +48,19 @@
         private final int run;
         private final long workMs;
         private final boolean fails;
+        private final long servesMs;
+        private final long disturbsMs;
+        private int pace = PERCENT;
         private long doneMs;
         private long stopAtMs = Long.MAX_VALUE;
 
-        Run(String task, int run, long workMs, boolean fails) {
+        Run(String task, int run, Map<String, Long> spec) {
             this.task = task;
             this.run = run;
-            this.workMs = workMs;
-            this.fails = fails;
+            workMs = spec.get("work");
+            fails = run <= spec.getOrDefault("fails", 0L);
+            servesMs = spec.getOrDefault("serves", 0L);
+            disturbsMs = spec.getOrDefault("disturbs", 0L);
         }
     }
 
@@ -79,6 +85,7 @@
     private long lastEnd;
     private long sequence;
     private long lateStartsMs;
+    private EmulatedAdvisor advisor;
 
     /**
      * Starts a worker that announces itself to its agent.
@@ -112,6 +119,11 @@
         lateStartsMs = afterMs;
     }
 
+    /** Lets the worker start only tasks whose order carries a ticket of an advisor. */
+    public synchronized void requireTickets(EmulatedAdvisor of) {
+        advisor = of;
+    }
+
     private void announce() {
         ObjectNode n = JsonNodeFactory.instance.objectNode();
         n.put("service", "pool")
@@ -144,7 +156,7 @@
                 end(r, "stopped");
             } else if (r.fails) {
                 end(r, "failed");
-            } else if (r.doneMs >= r.workMs) {
+            } else if (r.doneMs >= r.workMs && r.servesMs == 0) {
                 end(r, "done");
             }
         }
@@ -193,6 +205,8 @@
                 return start(body);
             case "/run-stop":
                 return stop(body);
+            case "/pace":
+                return pace(body);
             case "/hold":
                 return hold(body);
             default:
@@ -207,6 +221,9 @@
         if (until <= clock.nowMs()) {
             return refused("late");
         }
+        if (advisor != null && !advisor.allows(body.path("ticket").asText(), task, instance)) {
+            return refused("ticket");
+        }
         leaseUntilMs = Math.max(leaseUntilMs, until);
         Run present = running.get(task);
         if (present != null && present.run == run) {
@@ -219,7 +236,7 @@
         for (String pair : body.path("specification").asText().split(" ")) {
             spec.put(pair.substring(0, pair.indexOf('=')), Long.parseLong(pair.substring(pair.indexOf('=') + 1)));
         }
-        running.put(task, new Run(task, run, spec.get("work"), run <= spec.getOrDefault("fails", 0L)));
+        running.put(task, new Run(task, run, spec));
         record.started(task, run, instance, running.size(), ACCELERATORS);
         return HttpAnswer.of(200, stamp());
     }
@@ -236,6 +253,31 @@
         return HttpAnswer.of(200, stamp());
     }
 
+    private HttpAnswer pace(JsonNode body) {
+        Run present = running.get(body.path("task").asText());
+        if (present == null || present.run != body.path("run").asInt()) {
+            return refused("old");
+        }
+        present.pace = body.path("percentage").asInt();
+        return HttpAnswer.of(200, stamp());
+    }
+
+    /** Returns the tail latency of the serving tasks, in milliseconds; 0 when there are none. */
+    public synchronized long latencyMs() {
+        return running.values().stream()
+                .filter(r -> r.servesMs > 0)
+                .mapToLong(this::loadOf)
+                .max()
+                .orElse(0);
+    }
+
+    private long loadOf(Run r) {
+        long disturbance = running.values().stream()
+                .mapToLong(o -> o.disturbsMs * o.pace / PERCENT)
+                .sum();
+        return r.servesMs > 0 ? r.servesMs + disturbance : 0;
+    }
+
     private HttpAnswer hold(JsonNode body) {
         long acknowledged = body.path("ack-cursor").asLong();
         for (Map.Entry<Long, ObjectNode> e :
@@ -252,7 +294,8 @@
                 .add(r.task)
                 .add(r.run)
                 .add("")
-                .add(Math.min(PERCENT, PERCENT * r.doneMs / Math.max(1, r.workMs))));
+                .add(Math.min(PERCENT, PERCENT * r.doneMs / Math.max(1, r.workMs)))
+                .add(loadOf(r)));
         ArrayNode finished = answer.putArray("finished");
         ends.forEach((n, e) -> finished.addArray()
                 .add(n)
--- a/bench/src/main/java/io/pollenreach/bench/emulator/RunRecord.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/RunRecord.java
@@ -16,10 +16,12 @@
     private final Map<String, String> runningWhere = new HashMap<>();
     private final Set<String> doneAndNoted = new HashSet<>();
     private final Map<String, Integer> starts = new HashMap<>();
+    private final Map<String, Set<String>> startedOn = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
 
     synchronized void started(String task, int run, String worker, int usedAccelerators, int accelerators) {
         starts.merge(task, 1, Integer::sum);
+        startedOn.computeIfAbsent(task, t -> new HashSet<>()).add(worker);
         String other = runningWhere.put(task, worker);
         if (other != null) {
             violations.add(task + " run " + run + " started on " + worker + " while it ran on " + other);
@@ -45,6 +47,11 @@
         return starts.getOrDefault(task, 0);
     }
 
+    /** Returns the workers on which a task was started. */
+    public synchronized Set<String> workers(String task) {
+        return Set.copyOf(startedOn.getOrDefault(task, Set.of()));
+    }
+
     /** Returns how many tasks ran at least once. */
     public synchronized int tasks() {
         return starts.size();
--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -20,6 +20,7 @@
  * @param payload what the tasks run, handed to workers unchanged
  * @param steps the steps
  * @param recurrence when the steps run again; null for a job that runs once
+ * @param advised whether tasks may only run where the queue's advisor allows it
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 public record BatchJob(
@@ -31,7 +32,8 @@
         int maxAttempts,
         String payload,
         List<StepSpec> steps,
-        Recurrence recurrence) {
+        Recurrence recurrence,
+        boolean advised) {
     /** The widest step that is taken: a quarter of all tasks that the largest deployment runs at a time. */
     private static final int MAX_TASKS = 10_000;
 
--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -33,6 +34,7 @@
     private final Set<String> cancelled = new HashSet<>();
     private final Set<String> changedJobs = new LinkedHashSet<>();
     private final Set<String> changedWorkers = new LinkedHashSet<>();
+    private final AdviceBook advice = new AdviceBook();
     private Map<String, Integer> guarantees = Map.of();
 
     /** Creates an empty book that notes its decisions. */
@@ -114,6 +116,7 @@
 
     private void end(JobProgress job, JobPhase how, long nowMs) {
         job.end(how, nowMs);
+        advice.forget(job.job().id());
         changedJobs.add(job.job().id());
         job.tasks().filter(t -> t.state() == TaskProgress.State.PLACED).forEach(t -> stop(t, nowMs));
         log.note("job-ended", "job", job.job().id(), "phase", how, "sinceAcceptedMs", nowMs - job.acceptedMs());
@@ -152,6 +155,7 @@
             loseRuns(w, "worker-restarted", nowMs);
         }
         report.active().forEach(this::save);
+        report.active().forEach(a -> placed(a.run()).ifPresent(t -> t.observe(a.percent(), nowMs)));
         for (RunEnd end : report.ends()) {
             if (end.kind() == EndKind.REFUSED || w.takeEnd(end.number())) {
                 take(w, end, nowMs);
@@ -180,14 +184,15 @@
     }
 
     private void save(RunningTask a) {
-        JobProgress job = jobs.get(a.run().task().job());
-        if (job == null || a.checkpoint().isEmpty()) {
-            return;
+        if (!a.checkpoint().isEmpty()) {
+            placed(a.run()).ifPresent(t -> saveAll(jobs.get(t.id().job()), t, a.checkpoint()));
         }
-        job.find(a.run().task())
-                .filter(t -> t.state() == TaskProgress.State.PLACED
-                        && t.run() == a.run().run())
-                .ifPresent(t -> saveAll(job, t, a.checkpoint()));
+    }
+
+    private Optional<TaskProgress> placed(TaskRun run) {
+        return Optional.ofNullable(jobs.get(run.task().job()))
+                .flatMap(j -> j.find(run.task()))
+                .filter(t -> t.state() == TaskProgress.State.PLACED && t.run() == run.run());
     }
 
     // Any member's checkpoint is valid for its gang, and all members must go on from the same one.
@@ -271,6 +276,9 @@
         }
         changedJobs.add(job.job().id());
         t.noteEnd();
+        if (end.kind() == EndKind.REFUSED) {
+            advice.drop(StepId.of(t.id()), w.report().instance());
+        }
         saveAll(job, t, end.checkpoint());
         switch (end.kind()) {
             case DONE -> finish(w, job, t, nowMs);
@@ -299,6 +307,7 @@
         }
         job.completeWhenDone(nowMs);
         if (job.phase().ended()) {
+            advice.forget(job.job().id());
             log.note(
                     "job-ended",
                     "job",
@@ -342,6 +351,11 @@
         new PlacementPass(this, nowMs, wallMs).run();
     }
 
+    /** Returns what the advisor of queues said, and what it is to be asked. */
+    public AdviceBook advice() {
+        return advice;
+    }
+
     Map<String, JobProgress> jobs() {
         return jobs;
     }
@@ -361,7 +375,11 @@
             TaskProgress t = a.task();
             t.place(a.worker().name(), spec.gang() ? gangRun : t.run() + 1, nowMs);
             String checkpoint = spec.checkpointing() ? t.checkpoint() : "";
-            a.worker().order(new WorkOrders.OrderedRun(t.taskRun(), job.job().payload(), checkpoint), spec.occupied());
+            String ticket = advice.ticket(StepId.of(t.id()), a.worker().report().instance(), nowMs)
+                    .orElse("");
+            WorkOrders.OrderedRun order = new WorkOrders.OrderedRun(
+                    t.taskRun(), job.job().payload(), checkpoint, ticket, spec.targetLatencyMs(), spec.filler());
+            a.worker().order(order, spec.occupied());
             changedWorkers.add(a.worker().name());
             log.note(
                     "task-placed",
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -14,8 +14,8 @@
  * One pass over everything that waits, most urgent first.
  *
  * <p>Jobs of priority 0 inside their workspace's guarantee come first and reclaim room from less urgent ones; others of
- * priority 0 do so when that undoes little work. What they wait for is claimed, so that nothing less urgent slips into
- * it. For use by one thread.
+ * priority 0 do so when that undoes little work. Whatever waits claims the workers that will have room for it soonest, so
+ * that nothing less urgent slips into it. For use by one thread.
  */
 final class PlacementPass {
     /** A worker that gave no report for this long gets no new tasks, in milliseconds: one more than an idle worker pauses. */
@@ -27,8 +27,8 @@
     /** Longest such wait, in milliseconds: estimates are often several times too long. */
     static final long MAX_LOCALITY_WAIT_MS = 4_000;
 
-    /** How long a gang waits before the workers that suit it best take nothing less urgent, in milliseconds. */
-    static final long CLAIM_AFTER_MS = 1_500;
+    /** Units for which room is kept free in one pass; a bound on the work of a pass when much waits. */
+    static final int MAX_CLAIMS = 64;
 
     /**
      * Work worth undoing for one urgent task, in milliseconds of a core: by the platform's price list a late urgent job costs
@@ -54,13 +54,16 @@
     private final long nowMs;
     private final long wallMs;
     private final Room room;
+    private final Forecast forecast;
     private final Set<TaskId> held;
+    private int claims;
 
     PlacementPass(ClusterBook book, long nowMs, long wallMs) {
         this.book = book;
         this.nowMs = nowMs;
         this.wallMs = wallMs;
         room = new Room(book.workers(), WorkerBook::free);
+        forecast = new Forecast(book.jobs(), nowMs);
         held = book.workers().stream().flatMap(WorkerBook::heldTasks).collect(Collectors.toSet());
     }
 
@@ -114,7 +117,7 @@
     }
 
     private void place(Unit unit) {
-        List<WorkerBook> usable = usable(unit);
+        List<WorkerBook> usable = advised(unit, usable(unit));
         Optional<List<Room.Assignment>> fit = near(unit, usable);
         if (fit.isEmpty() && waitedMs(unit) > localityWaitMs(unit)) {
             fit = room.fit(unit.tasks(), unit.spec(), usable, false);
@@ -124,11 +127,15 @@
             book.place(unit.job(), fit.get(), nowMs);
             return;
         }
-        if (unit.guaranteed() || unit.job().job().priority() == 0) {
-            reclaim(unit, usable);
-        } else if (unit.spec().gang() && waitedMs(unit) > CLAIM_AFTER_MS) {
-            claim(unit, usable);
+        boolean urgent = unit.guaranteed() || unit.job().job().priority() == 0;
+        if (urgent && reclaim(unit, usable)) {
+            return;
         }
+        claim(unit, usable);
+    }
+
+    private long untilFitsMs(Unit unit, WorkerBook w) {
+        return forecast.untilFits(w, room.of(w), unit.spec().occupied());
     }
 
     private Optional<List<Room.Assignment>> near(Unit unit, List<WorkerBook> usable) {
@@ -179,6 +186,27 @@
         return enough ? sound : able;
     }
 
+    /** Returns the workers that the queue's advisor allows, and asks of others while those have no room. */
+    private List<WorkerBook> advised(Unit unit, List<WorkerBook> usable) {
+        if (!unit.job().job().advised()) {
+            return usable;
+        }
+        StepId step = StepId.of(unit.first());
+        List<WorkerBook> allowed = usable.stream()
+                .filter(w ->
+                        book.advice().ticket(step, w.report().instance(), nowMs).isPresent())
+                .toList();
+        if (room.fit(unit.tasks(), unit.spec(), allowed, false).isEmpty()) {
+            List<String> candidates = usable.stream()
+                    .filter(w -> unit.spec().occupied().fitsIn(w.report().capacity()))
+                    .sorted(Comparator.comparingLong(w -> untilFitsMs(unit, w)))
+                    .map(w -> w.report().instance())
+                    .toList();
+            book.advice().want(step, candidates, nowMs);
+        }
+        return allowed;
+    }
+
     /** Tells whether a worker may be to blame for a failure that the tasks cannot afford once more. */
     private static boolean avoided(Unit unit, WorkerBook w) {
         boolean lastAttempt = unit.tasks().stream()
@@ -188,7 +216,8 @@
                 || lastAttempt && w.health().failures() > 0;
     }
 
-    private void reclaim(Unit unit, List<WorkerBook> usable) {
+    /** Ends less urgent runs to make room for a unit; tells whether it did. */
+    private boolean reclaim(Unit unit, List<WorkerBook> usable) {
         Reclaim reclaim = new Reclaim(book.jobs(), room, nowMs);
         int priority = unit.job().job().priority();
         Optional<Reclaim.Plan> plan =
@@ -196,11 +225,8 @@
         if (plan.isEmpty()) {
             plan = reclaim.find(unit.tasks(), unit.spec(), priority, usable, false);
         }
-        if (plan.isEmpty()) {
-            return;
-        }
-        if (!unit.guaranteed() && plan.get().lostCoreMs() > worthCoreMs(unit)) {
-            return;
+        if (plan.isEmpty() || !unit.guaranteed() && plan.get().lostCoreMs() > worthCoreMs(unit)) {
+            return false;
         }
         for (TaskProgress victim : plan.get().victims()) {
             if (victim.state() == TaskProgress.State.PLACED) {
@@ -208,6 +234,7 @@
             }
         }
         room.take(plan.get().assignments(), unit.spec().occupied());
+        return true;
     }
 
     /** Returns how much work of others an urgent job beyond its guarantee may undo. */
@@ -217,9 +244,19 @@
         return Math.max(own, LATE_CORE_MS);
     }
 
+    /**
+     * Keeps the workers that are soonest free for a unit from everything less urgent: else the room for a large task would
+     * be filled with small ones as it becomes free.
+     */
     private void claim(Unit unit, List<WorkerBook> usable) {
-        Room whole = new Room(usable, w -> w.report().capacity());
-        whole.fit(unit.tasks(), unit.spec(), close(unit, usable), oneRack(unit))
+        if (claims == MAX_CLAIMS) {
+            return;
+        }
+        claims++;
+        Room whole = new Room(usable, w -> room.of(w)
+                .plus(w.heldByStops())
+                .plus(w.heldByRuns().values().stream().reduce(Resources.NONE, Resources::plus)));
+        whole.fit(unit.tasks(), unit.spec(), close(unit, usable), oneRack(unit), w -> untilFitsMs(unit, w))
                 .ifPresent(a -> room.take(a, unit.spec().occupied()));
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Finds the runs that lose the least work when they make room for guaranteed tasks.
@@ -61,13 +62,16 @@
             for (int i = 0; i < count; i++) {
                 need = need.plus(spec.occupied());
             }
-            addVictims(w, need, priority, victims);
+            if (!addVictims(w, need, priority, victims)) {
+                return Optional.empty();
+            }
         }
         double lost = victims.stream().mapToDouble(this::lostCoreMs).sum();
         return Optional.of(new Plan(chosen, List.copyOf(victims), lost));
     }
 
-    private void addVictims(WorkerBook w, Resources need, int priority, Set<TaskProgress> victims) {
+    /** Adds what must end on a worker; tells whether that makes enough room. */
+    private boolean addVictims(WorkerBook w, Resources need, int priority, Set<TaskProgress> victims) {
         Resources have = room.of(w).plus(w.freeingSoon(nowMs, STOP_PATIENCE_MS));
         List<TaskProgress> candidates = new ArrayList<>(preemptible(w, priority));
         candidates.sort(Comparator.comparingDouble(this::lostCoreMs));
@@ -76,6 +80,10 @@
             if (need.fitsIn(have)) {
                 break;
             }
+            if (!isInterruptible(
+                    t, Stream.concat(victims.stream(), taken.stream()).toList())) {
+                continue;
+            }
             taken.add(t);
             have = have.plus(occupied(t));
         }
@@ -88,6 +96,7 @@
             }
         }
         victims.addAll(taken);
+        return need.fitsIn(have);
     }
 
     private double costOfWhole(WorkerBook w, int priority) {
@@ -99,12 +108,25 @@
         for (TaskRun run : w.runs()) {
             JobProgress job = jobs.get(run.task().job());
             if (job != null && job.job().priority() > priority) {
-                job.find(run.task()).ifPresent(found::add);
+                job.find(run.task()).filter(t -> isInterruptible(t, List.of())).ifPresent(found::add);
             }
         }
         return found;
     }
 
+    /** Tells whether a task may be interrupted beside those that already are, by the limit of its step. */
+    private boolean isInterruptible(TaskProgress t, Collection<TaskProgress> taken) {
+        JobProgress job = jobs.get(t.id().job());
+        int limit = job.spec(t.id()).maxUnavailable();
+        if (limit == 0) {
+            return true;
+        }
+        long away = job.step(t.id()).stream()
+                .filter(m -> m != t && (!m.atWork() || taken.contains(m)))
+                .count();
+        return away < limit;
+    }
+
     private Resources occupied(TaskProgress t) {
         return jobs.get(t.id().job()).spec(t.id()).occupied();
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskProgress.java
@@ -14,6 +14,8 @@
         DONE
     }
 
+    private static final int WHOLE = 100;
+
     private final TaskId id;
     private State state = State.WAITING;
     private int run;
@@ -27,6 +29,12 @@
     private String failedOn = "";
     private long waitingSinceMs;
     private long placedMs;
+    /** The first and the newest progress that the worker reported of this run, and when; a percentage, or unknown. */
+    private int firstPercent = RunningTask.UNCONFIRMED;
+
+    private long firstPercentMs;
+    private int percent = RunningTask.UNCONFIRMED;
+    private long percentMs;
 
     TaskProgress(TaskId id, long nowMs) {
         this.id = id;
@@ -119,6 +127,41 @@
         worker = name;
         run = number;
         placedMs = nowMs;
+        // Without saved work a run begins at nothing; otherwise its first report tells where.
+        firstPercent = checkpoint.isEmpty() ? 0 : RunningTask.UNCONFIRMED;
+        firstPercentMs = nowMs;
+        percent = RunningTask.UNCONFIRMED;
+    }
+
+    /** Notes how far the present run is. */
+    void observe(int reported, long nowMs) {
+        if (reported == RunningTask.UNCONFIRMED) {
+            return;
+        }
+        if (firstPercent == RunningTask.UNCONFIRMED) {
+            firstPercent = reported;
+            firstPercentMs = nowMs;
+        }
+        percent = reported;
+        percentMs = nowMs;
+    }
+
+    /** Tells whether the present run is fully at work. */
+    boolean atWork() {
+        return state == State.PLACED && percent == WHOLE;
+    }
+
+    /**
+     * Returns how long the present run will probably go on, in milliseconds: at its pace so far, or by the estimate while
+     * the pace is not known, and as long again as it has run once that has passed.
+     */
+    long remainingMs(long estimatedMs, long nowMs) {
+        if (percent > firstPercent) {
+            long perPercentMs = (percentMs - firstPercentMs) / (percent - firstPercent);
+            return Math.max(0, (WHOLE - percent) * perPercentMs - (nowMs - percentMs));
+        }
+        long ranMs = nowMs - placedMs;
+        return ranMs < estimatedMs ? estimatedMs - ranMs : ranMs;
     }
 
     void finish() {
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkOrders.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkOrders.java
@@ -35,6 +35,22 @@
      * @param run the run
      * @param payload what it runs
      * @param checkpoint the saved work to go on from; empty for none
+     * @param ticket what the queue's advisor gave for this worker; empty for none
+     * @param targetLatencyMs the tail latency below which it must serve its own users; 0 for none
+     * @param filler whether it must give way to runs with such a target
      */
-    public record OrderedRun(TaskRun run, String payload, String checkpoint) {}
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+    public record OrderedRun(
+            TaskRun run, String payload, String checkpoint, String ticket, int targetLatencyMs, boolean filler) {
+        public OrderedRun {
+            payload = payload == null ? "" : payload;
+            checkpoint = checkpoint == null ? "" : checkpoint;
+            ticket = ticket == null ? "" : ticket;
+        }
+
+        /** Returns an order of a run that neither has a target nor gives way. */
+        public static OrderedRun of(TaskRun run, String payload) {
+            return new OrderedRun(run, payload, "", "", 0, false);
+        }
+    }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
@@ -132,6 +132,18 @@
         return sum;
     }
 
+    /** Returns what each run that the worker is to keep occupies. */
+    Map<TaskRun, Resources> heldByRuns() {
+        Map<TaskRun, Resources> held = new LinkedHashMap<>();
+        runs.forEach((run, h) -> held.put(run, h.held()));
+        return held;
+    }
+
+    /** Returns what all runs that are being ended occupy. */
+    Resources heldByStops() {
+        return stops.values().stream().map(s -> s.held).reduce(Resources.NONE, Resources::plus);
+    }
+
     List<TaskRun> runs() {
         return new ArrayList<>(runs.keySet());
     }
--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -341,4 +341,92 @@
         assertThatThrownBy(job::build).isInstanceOfSatisfying(PollenreachException.class, e -> assertThat(e.code())
                 .isEqualTo(ResultCode.OUT_OF_RANGE));
     }
+
+    // On scale-2 of ctread-hosted tasks for a whole worker waited 12 s while small ones took each accelerator that came
+    // free.
+    @Test
+    void keepsRoomForALargeTaskWhileItBecomesFree() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("batch").priority(2).step(Jobs.step(20, 1)));
+        sample.submit(Jobs.job("large").priority(1).step(Jobs.step(1, 8)));
+
+        sample.end("w1", 1, "batch.0.0.0", 1, EndKind.DONE);
+
+        assertThat(sample.orders("w1").runs()).hasSize(7);
+    }
+
+    @Test
+    void leavesRoomThatALargeTaskDoesNotNeedToOthers() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        sample.submit(Jobs.job("batch").priority(2).step(Jobs.step(20, 1)));
+        sample.submit(Jobs.job("large").priority(1).step(Jobs.step(1, 8)));
+
+        sample.end("w1", 1, "batch.0.0.0", 1, EndKind.DONE);
+        sample.end("w2", 1, "batch.0.0.8", 1, EndKind.DONE);
+
+        assertThat(sample.orders("w1").runs().size()
+                        + sample.orders("w2").runs().size())
+                .isEqualTo(15);
+    }
+
+    @Test
+    void interruptsNoMoreTasksOfAStepThanItAllows() {
+        sample.worker("w1", "r1");
+        sample.book().setGuarantees(Map.of("lab", 8));
+        StepSpec serving =
+                Jobs.step(4, 2).toBuilder().longRunning(true).maxUnavailable(1).build();
+        sample.submit(Jobs.job("serving").priority(2).step(serving));
+        for (int i = 0; i < 4; i++) {
+            sample.atWork("w1", "serving.0.0." + i, 1);
+        }
+
+        sample.submit(Jobs.job("urgent").priority(0).workspace("lab").step(Jobs.step(2, 2)));
+
+        assertThat(sample.orders("w1").stops()).hasSize(1);
+    }
+
+    @Test
+    void asksForAdviceAndRunsOnlyWhereItIsAllowed() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        sample.submit(Jobs.job("a").advised().step(Jobs.step(1, 1)));
+        List<AdviceBook.Question> questions = sample.book().advice().takeQuestions();
+        assertThat(questions).singleElement().satisfies(q -> assertThat(q.workers())
+                .containsExactlyInAnyOrder("w1", "w2"));
+        assertThat(sample.orders("w1").runs()).isEmpty();
+
+        sample.book().advice().answered(questions.get(0), Map.of("w2", "ticket"), 1_000, 0);
+        sample.pass(10);
+
+        assertThat(sample.orders("w1").runs()).isEmpty();
+        assertThat(sample.orders("w2").runs()).extracting(r -> r.ticket()).containsExactly("ticket");
+    }
+
+    @Test
+    void asksAgainForATicketThatHasRunOut() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").advised().step(Jobs.step(1, 1)));
+        AdviceBook advice = sample.book().advice();
+        advice.answered(advice.takeQuestions().get(0), Map.of("w1", "old"), 1_000, 0);
+
+        sample.pass(1_000);
+        assertThat(sample.orders("w1").runs()).isEmpty();
+        advice.answered(advice.takeQuestions().get(0), Map.of("w1", "new"), 1_000, 1_000);
+        sample.pass(0);
+
+        assertThat(sample.orders("w1").runs()).extracting(r -> r.ticket()).containsExactly("new");
+    }
+
+    @Test
+    void neverAsksAgainForAWorkerThatMayNotRunAStep() {
+        sample.worker("w1", "r1");
+        sample.submit(Jobs.job("a").advised().step(Jobs.step(1, 1)));
+        AdviceBook advice = sample.book().advice();
+        advice.answered(advice.takeQuestions().get(0), Map.of(), 1_000, 0);
+
+        sample.pass(5_000);
+
+        assertThat(advice.takeQuestions()).isEmpty();
+    }
 }
--- /dev/null
+++ b/core/src/test/java/io/pollenreach/internal/batch/ForecastTest.java
@@ -0,0 +1,43 @@
+package io.pollenreach.internal.batch;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ForecastTest {
+    private static final long ESTIMATED_MS = 1_000;
+
+    private final TaskProgress task = new TaskProgress(new TaskId("job", 0, 0, 0), 0);
+
+    @Test
+    void trustsTheEstimateUntilThePaceIsKnown() {
+        task.place("w", 1, 0);
+
+        assertThat(task.remainingMs(ESTIMATED_MS, 400)).isEqualTo(600);
+    }
+
+    @Test
+    void expectsARunBeyondItsEstimateToGoOnAsLongAgain() {
+        task.place("w", 1, 0);
+
+        assertThat(task.remainingMs(ESTIMATED_MS, 3_000)).isEqualTo(3_000);
+    }
+
+    @Test
+    void extendsThePaceOfARun() {
+        task.place("w", 1, 0);
+        task.observe(20, 2_000);
+
+        assertThat(task.remainingMs(ESTIMATED_MS, 3_000)).isEqualTo(7_000);
+    }
+
+    @Test
+    void measuresThePaceOfARestoredRunFromItsFirstReport() {
+        task.save("saved");
+        task.place("w", 2, 0);
+        task.observe(60, 1_000);
+        task.observe(70, 2_000);
+
+        assertThat(task.remainingMs(ESTIMATED_MS, 2_000)).isEqualTo(3_000);
+    }
+}
--- a/core/src/test/java/io/pollenreach/internal/batch/Jobs.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/Jobs.java
@@ -11,6 +11,7 @@
     private int priority = 1;
     private int attempts = 4;
     private Recurrence recurrence;
+    private boolean advised;
 
     private Jobs(String id) {
         this.id = id;
@@ -45,55 +46,30 @@
         return this;
     }
 
+    Jobs advised() {
+        advised = true;
+        return this;
+    }
+
     BatchJob build() {
-        return new BatchJob(id, "queue", workspace, "pool", priority, attempts, "payload", steps, recurrence);
+        return new BatchJob(id, "queue", workspace, "pool", priority, attempts, "payload", steps, recurrence, advised);
     }
 
     static StepSpec step(int tasks, int accelerators) {
-        return new StepSpec(
-                tasks,
-                new Resources(1_000, 1_000, accelerators),
-                1_000,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                false,
-                0);
+        return StepSpec.builder(tasks, new Resources(1_000, 1_000, accelerators))
+                .estimatedMs(1_000)
+                .build();
     }
 
     static StepSpec after(StepSpec s, Integer... before) {
-        return copy(s, List.of(before), s.checkpointing(), s.gang());
+        return s.toBuilder().after(List.of(before)).build();
     }
 
     static StepSpec gang(StepSpec s) {
-        return copy(s, s.after(), s.checkpointing(), true);
+        return s.toBuilder().gang(true).build();
     }
 
     static StepSpec checkpointing(StepSpec s) {
-        return copy(s, s.after(), true, s.gang());
-    }
-
-    private static StepSpec copy(StepSpec s, List<Integer> after, boolean checkpointing, boolean gang) {
-        return new StepSpec(
-                s.taskCount(),
-                s.need(),
-                s.estimatedMs(),
-                after,
-                checkpointing,
-                gang,
-                s.sameRack(),
-                s.requiredLabel(),
-                s.dataRack(),
-                s.maxPerWorker(),
-                s.speculative(),
-                s.longRunning(),
-                s.filler(),
-                s.maxUnavailable());
+        return s.toBuilder().checkpointing(true).build();
     }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SampleBook.java
@@ -75,6 +75,14 @@
         report(with(r, r.incarnation(), List.of(active), r.ends(), List.of()));
     }
 
+    /** Reports a long-running task as fully at work, beside those that were reported so before. */
+    void atWork(String worker, String task, int run) {
+        WorkerReport r = reports.get(worker);
+        List<RunningTask> active = new ArrayList<>(r.active());
+        active.add(new RunningTask(new TaskRun(TaskId.of(task), run), "", 100));
+        report(with(r, r.incarnation(), active, r.ends(), List.of()));
+    }
+
     void restart(String worker, List<RunEnd> formerEnds) {
         WorkerReport r = reports.get(worker);
         report(with(r, r.incarnation() + "-next", List.of(), List.of(), formerEnds));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/Queue.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/Queue.java
@@ -12,6 +12,14 @@
  * @param priority 0 is the most urgent
  * @param maxAttempts how often a task may fail before its job fails
  * @param open whether calls need no key
+ * @param advised whether tasks may only run where the queue's advisor allows it
  */
 public record Queue(
-        String name, String host, String pathPrefix, String pool, int priority, int maxAttempts, boolean open) {}
+        String name,
+        String host,
+        String pathPrefix,
+        String pool,
+        int priority,
+        int maxAttempts,
+        boolean open,
+        boolean advised) {}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -43,6 +43,7 @@
     private final StateStore store;
     private final LeaderWatch leader;
     private final Supplier<Map<String, Integer>> guarantees;
+    private final Advisor advisor;
     private final Clock clock;
     private final long leaseMs;
     private final MeterRegistry metrics;
@@ -58,6 +59,7 @@
      * @param store the store
      * @param leader who schedules, followed by the caller
      * @param guarantees the accelerators that each workspace is guaranteed, as now in force
+     * @param advisor knows which workers may run the steps of advised queues
      * @param clock tells the time
      * @param leaseMs how long a worker keeps its runs after its agent's last report, in milliseconds
      * @param metrics counts the decisions
@@ -67,6 +69,7 @@
             StateStore store,
             LeaderWatch leader,
             Supplier<Map<String, Integer>> guarantees,
+            Advisor advisor,
             Clock clock,
             long leaseMs,
             MeterRegistry metrics) {
@@ -74,6 +77,7 @@
         this.store = store;
         this.leader = leader;
         this.guarantees = guarantees;
+        this.advisor = advisor;
         this.clock = clock;
         this.leaseMs = leaseMs;
         this.metrics = metrics;
@@ -146,7 +150,7 @@
         long taken = store.commit(tx).join();
         outcomeUnknown = false;
         EVENTS.info("leader-elected", "entry", self, "term", taken, "before", holder);
-        Term t = new Term(self, taken, store, leader, guarantees, clock, leaseMs, this::note);
+        Term t = new Term(self, taken, store, leader, guarantees, advisor, clock, leaseMs, this::note);
         term = t;
         try {
             t.load();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -21,6 +21,7 @@
 import io.pollenreach.daemon.internal.store.TableWatch;
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.daemon.internal.store.Transaction;
+import io.pollenreach.internal.batch.AdviceBook;
 import io.pollenreach.internal.batch.BatchJob;
 import io.pollenreach.internal.batch.ClusterBook;
 import io.pollenreach.internal.batch.DecisionLog;
@@ -59,6 +60,7 @@
     private final StateStore store;
     private final LeaderWatch leader;
     private final Supplier<Map<String, Integer>> guarantees;
+    private final Advisor advisor;
     private final Clock clock;
     private final long lostAfterMs;
     private final ClusterBook book;
@@ -77,6 +79,7 @@
             StateStore store,
             LeaderWatch leader,
             Supplier<Map<String, Integer>> guarantees,
+            Advisor advisor,
             Clock clock,
             long leaseMs,
             DecisionLog log) {
@@ -85,6 +88,7 @@
         this.store = store;
         this.leader = leader;
         this.guarantees = guarantees;
+        this.advisor = advisor;
         this.clock = clock;
         book = new ClusterBook(log);
         lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_SLACK_MS;
@@ -202,11 +206,41 @@
         book.setGuarantees(guarantees.get());
         if (!unstored) {
             book.plan(nowMs, clock.wallMs());
+            book.advice().takeQuestions().forEach(this::ask);
         }
         storeChanges(nowMs);
         expire(nowMs);
     }
 
+    private void ask(AdviceBook.Question question) {
+        long askedMs = clock.nowMs();
+        advisor.advise(question.step(), question.workers())
+                .whenComplete((advice, t) -> inbox.add(() -> takeAdvice(question, advice, t, askedMs)));
+    }
+
+    private void takeAdvice(AdviceBook.Question question, Advisor.Advice advice, Throwable t, long askedMs) {
+        long nowMs = clock.nowMs();
+        if (t == null) {
+            book.advice().answered(question, advice.ticketByWorker(), advice.validMs(), askedMs);
+            EVENTS.info(
+                    "advice-taken",
+                    "step",
+                    question.step(),
+                    "asked",
+                    question.workers().size(),
+                    "approved",
+                    advice.ticketByWorker().size(),
+                    "validMs",
+                    advice.validMs(),
+                    "ms",
+                    nowMs - askedMs);
+            return;
+        }
+        PollenreachException e = PollenreachException.of(t);
+        book.advice().unanswered(question, nowMs);
+        EVENTS.warn("advice-failed", "step", question.step(), "code", e.code().number(), "error", e.getMessage());
+    }
+
     private void loseSilentWorkers(long nowMs) throws InterruptedException {
         if (!leader.healthyFor(RETURN_MS) || !workersWatch.healthyFor(0)) {
             return;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Claims.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Claims.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
@@ -28,10 +29,12 @@
 
     private final String agent;
     private final StateStore store;
+    private final Clock clock;
 
-    Claims(String agent, StateStore store) {
+    Claims(String agent, StateStore store, Clock clock) {
         this.agent = agent;
         this.store = store;
+        this.clock = clock;
     }
 
     /** Returns what the store has of this agent. */
@@ -69,7 +72,7 @@
                 .write(Tables.WORKERS, agent, RowCodec.toValue(claim));
         return store.commit(tx).thenApply(version -> {
             EVENTS.info("worker-claimed", "incarnation", id, "token", version, "continued", same.isPresent());
-            return new Incarnation(worker, version, claim);
+            return new Incarnation(worker, version, claim, clock.nowMs());
         });
     }
 
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/FillerPacer.java
@@ -0,0 +1,90 @@
+package io.pollenreach.daemon.internal.work;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.pollenreach.PollenreachException;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.internal.batch.FillerPace;
+import io.pollenreach.internal.batch.TaskRun;
+import io.pollenreach.internal.batch.WorkOrders.OrderedRun;
+
+/**
+ * Slows the fillers of one incarnation of a worker while they disturb the tasks that serve beside them.
+ *
+ * <p>Invariant: a filler whose pace is not known to the worker is told it again with the next poll. Not safe for use by
+ * many threads: the agent's thread owns it.
+ */
+final class FillerPacer {
+    /** What a pacer needs of its agent. */
+    interface Host {
+        /** Tells the worker the pace of a run. */
+        void pace(TaskRun run, int percent, Runnable failed);
+    }
+
+    private static final Events EVENTS = Events.of(FillerPacer.class);
+
+    private final FillerPace pace;
+    private final Map<TaskRun, Integer> told = new HashMap<>();
+
+    FillerPacer(long nowMs) {
+        pace = new FillerPace(nowMs);
+    }
+
+    /** Takes what the worker says of the load of its runs, and tells it what follows. */
+    void adjust(List<OrderedRun> runs, Map<TaskRun, Integer> loads, long nowMs, Host host) {
+        List<TaskRun> fillers =
+                runs.stream().filter(OrderedRun::filler).map(OrderedRun::run).toList();
+        told.keySet().retainAll(Set.copyOf(fillers));
+        if (fillers.isEmpty()) {
+            return;
+        }
+        int before = pace.percent();
+        double worst = worst(runs, loads);
+        pace.update(worst, nowMs);
+        if (pace.percent() != before) {
+            EVENTS.info(
+                    "filler-pace",
+                    "percent",
+                    pace.percent(),
+                    "before",
+                    before,
+                    "latencyOverTarget",
+                    worst,
+                    "fillers",
+                    fillers.size());
+        }
+        for (TaskRun run : fillers) {
+            if (told.getOrDefault(run, FillerPace.FULL) != pace.percent()) {
+                told.put(run, pace.percent());
+                host.pace(run, pace.percent(), () -> told.remove(run));
+            }
+        }
+    }
+
+    private static double worst(List<OrderedRun> runs, Map<TaskRun, Integer> loads) {
+        return runs.stream()
+                .filter(r -> r.targetLatencyMs() > 0)
+                .mapToDouble(r -> (double) loads.getOrDefault(r.run(), 0) / r.targetLatencyMs())
+                .max()
+                .orElse(0);
+    }
+
+    /** Notes why a worker did not take a pace. */
+    static void noteFailure(TaskRun run, int percent, PollenreachException e) {
+        EVENTS.warn(
+                "pace-failed",
+                "task",
+                run.task(),
+                "run",
+                run.run(),
+                "percent",
+                percent,
+                "code",
+                e.code().number(),
+                "error",
+                e.getMessage());
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
@@ -42,7 +42,10 @@
     /** The number of the newest end that the store has. */
     long endsStored;
 
-    Incarnation(RunnerFacts worker, long token, WorkerReport claim) {
+    final FillerPacer fillers;
+
+    Incarnation(RunnerFacts worker, long token, WorkerReport claim, long nowMs) {
+        fillers = new FillerPacer(nowMs);
         this.worker = worker;
         this.token = token;
         id = claim.incarnation();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
@@ -258,6 +258,14 @@
                 .toList();
     }
 
+    /** Returns the runs that the worker is known to have at work. */
+    List<WorkOrders.OrderedRun> atWork() {
+        return ordered.values().stream()
+                .filter(r -> r.status == Status.RUNNING)
+                .map(r -> r.order)
+                .toList();
+    }
+
     /** Tells whether every run of a list was ordered or is being stopped. */
     boolean accountsFor(List<RunningTask> list) {
         return list.stream().allMatch(r -> ordered.containsKey(r.run()) || stopping.containsKey(r.run()));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.work;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -52,8 +53,15 @@
      * @param bornMs when the worker process started, in milliseconds since the Unix epoch; empty when not told
      * @param running what runs
      * @param ends ends above the number up to which they were acknowledged, rising
+     * @param loads the tail latency of each serving run over the last half second, in milliseconds; for other runs the
+     *     processor time in use
      */
-    record RunnerView(long clockMs, Optional<Long> bornMs, List<RunningTask> running, List<RunEnd> ends) {}
+    record RunnerView(
+            long clockMs,
+            Optional<Long> bornMs,
+            List<RunningTask> running,
+            List<RunEnd> ends,
+            Map<TaskRun, Integer> loads) {}
 
     /** Starts a run; {@code leaseUntilMs} is a time on the worker's clock. */
     CompletableFuture<StartOutcome> start(Authority by, WorkOrders.OrderedRun run, long leaseUntilMs);
@@ -61,6 +69,9 @@
     /** Ends a run, or keeps it from ever starting; completes when the order was taken. */
     CompletableFuture<Void> stop(Authority by, TaskRun run);
 
+    /** Lets a run work at a share of its speed, from 0 to 100. */
+    CompletableFuture<Void> pace(Authority by, TaskRun run, int percent);
+
     /**
      * Extends the lease, acknowledges ends and asks for the runs.
      *
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkAgent.java
@@ -75,7 +75,7 @@
     public WorkAgent(String name, StateStore store, TaskRunner runner, Clock clock, long leaseMs) {
         this.name = name;
         this.store = store;
-        claims = new Claims(name, store);
+        claims = new Claims(name, store, clock);
         this.runner = runner;
         this.clock = clock;
         thread = new ScheduledThreadPoolExecutor(1, r -> {
@@ -280,6 +280,10 @@
         }
         reporter.reportWhenDue(inc);
         act(inc);
+        inc.fillers.adjust(inc.runs.atWork(), view.loads(), inc.polledMs, (run, percent, failed) -> {
+            runner.pace(inc.authority(), run, percent)
+                    .whenCompleteAsync((v, e) -> guarded(() -> paced(run, percent, failed, e)), thread);
+        });
         if (inc.runs.newestEnd() > inc.endsStored) {
             // The worker answers at once while it has ends to list, until the store has them.
             thread.schedule(() -> guarded(() -> poll(inc)), UNSTORED_POLL_MS, TimeUnit.MILLISECONDS);
@@ -288,6 +292,13 @@
         }
     }
 
+    private static void paced(TaskRun run, int percent, Runnable failed, Throwable t) {
+        if (t != null) {
+            FillerPacer.noteFailure(run, percent, PollenreachException.of(t));
+            failed.run();
+        }
+    }
+
     private void pollFailed(Incarnation inc, PollenreachException e) {
         warn("poll-failed", "instance", inc.worker.instance(), e);
         if (e.code() == ResultCode.STALE_ATTEMPT) {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
@@ -24,9 +24,8 @@
     private final JobIntake intake = new JobIntake(store, () -> heard, Clock.system());
 
     private static BatchJob job(String id) {
-        StepSpec step =
-                new StepSpec(1, Resources.NONE, 0, List.of(), false, false, false, "", "", 0, false, false, false, 0);
-        return new BatchJob(id, "q", "team", "pool", 1, 3, "payload", List.of(step), null);
+        StepSpec step = StepSpec.builder(1, Resources.NONE).build();
+        return new BatchJob(id, "q", "team", "pool", 1, 3, "payload", List.of(step), null, false);
     }
 
     private static ResultCode failure(CompletableFuture<?> call) {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -27,6 +27,7 @@
 
     private final MemoryStore store = new MemoryStore();
     private final ManualClock clock = new ManualClock();
+    private Advisor advisor = Advisor.none();
     private Term term;
 
     @BeforeEach
@@ -43,6 +44,7 @@
                 store,
                 new LeaderWatch(store, clock),
                 () -> Map.of("lab", 8),
+                advisor,
                 clock,
                 LEASE_MS,
                 (event, pairs) -> {});
@@ -71,22 +73,10 @@
     }
 
     private void job(String id, int priority, String workspace, int tasks, int accelerators) {
-        StepSpec step = new StepSpec(
-                tasks,
-                new Resources(1_000, 1_000, accelerators),
-                1_000,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                false,
-                0);
-        BatchJob job = new BatchJob(id, "q", workspace, "pool", priority, 3, "payload", List.of(step), null);
+        StepSpec step = StepSpec.builder(tasks, new Resources(1_000, 1_000, accelerators))
+                .estimatedMs(1_000)
+                .build();
+        BatchJob job = new BatchJob(id, "q", workspace, "pool", priority, 3, "payload", List.of(step), null, false);
         store.put(Tables.JOBS, id, RowCodec.toValue(job));
     }
 
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import io.pollenreach.internal.batch.EndKind;
@@ -21,13 +22,13 @@
 
     private static WorkOrders orders(TaskRun... wanted) {
         List<WorkOrders.OrderedRun> list = Arrays.stream(wanted)
-                .map(r -> new WorkOrders.OrderedRun(r, "payload", ""))
+                .map(r -> WorkOrders.OrderedRun.of(r, "payload"))
                 .toList();
         return new WorkOrders("incarnation", list, List.of(), 0);
     }
 
     private void poll(List<RunningTask> running, List<RunEnd> ends, long sentMs) {
-        runs.take(new TaskRunner.RunnerView(0, Optional.empty(), running, ends), sentMs);
+        runs.take(new TaskRunner.RunnerView(0, Optional.empty(), running, ends, Map.of()), sentMs);
     }
 
     private static RunningTask running(TaskRun run) {
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -12,7 +12,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
+import io.pollenreach.bench.emulator.EmulatedAdvisor;
 import io.pollenreach.bench.emulator.EmulatedStore;
 import io.pollenreach.bench.emulator.EmulatedWorker;
 import io.pollenreach.bench.emulator.RunRecord;
@@ -27,12 +29,14 @@
     static final String KEY = "key-1";
     private static final String IP = "127.0.0.1";
     private static final String PREFIX = "/jobs/";
+    private static final String ADVISED_PREFIX = "/advised/";
     private static final long START_TIMEOUT_MS = 30_000;
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
     private static final int OK = 200;
 
     private final Path directory;
     private final EmulatedStore store = new EmulatedStore(IP);
+    private final EmulatedAdvisor advisor = new EmulatedAdvisor(IP, Set.of("i-a2"));
     private final RunRecord record = new RunRecord();
     private final Map<String, Daemon> daemons = new LinkedHashMap<>();
     private final Map<String, String> ingress = new LinkedHashMap<>();
@@ -75,7 +79,10 @@
     /** Writes a version of the operator's configuration. */
     void configure(int version, List<String> keys) {
         String config = "{\"version\":" + version + ",\"routes\":[{\"name\":\"q\",\"host\":\"" + IP
-                + "\",\"path-prefix\":\"" + PREFIX + "\",\"service\":\"pool\",\"priority\":1,\"max-attempts\":3}],"
+                + "\",\"path-prefix\":\"" + PREFIX + "\",\"service\":\"pool\",\"priority\":1,\"max-attempts\":3},"
+                + "{\"name\":\"a\",\"host\":\"" + IP + "\",\"path-prefix\":\"" + ADVISED_PREFIX
+                + "\",\"service\":\"pool\",\"priority\":1,\"max-attempts\":3,"
+                + "\"advice\":{\"decision-ms\":40,\"per-worker-ms\":0,\"validity-ms\":1500}}],"
                 + "\"tenants\":[{\"name\":\"team\",\"api-keys\":[\"" + String.join("\",\"", keys)
                 + "\"],\"guaranteed\":{\"gpu\":4}}]}";
         store.put("op", "config", config.getBytes(StandardCharsets.UTF_8));
@@ -111,6 +118,7 @@
                 "zone=zone",
                 "ip-address=" + IP,
                 "platform.address=" + IP + ":" + store.port(),
+                "advice=" + IP + ":" + advisor.port(),
                 "bounds.max-hold-ms=6000",
                 "bounds.revocation-ms=5000",
                 "bounds.grace-period-s=6",
@@ -148,10 +156,22 @@
 
     /** Submits until some entry accepts, as submitters do. */
     void submit(String id, String payload, String steps) throws Exception {
+        submit(PREFIX, id, payload, steps);
+    }
+
+    /** Submits to a queue whose tasks may run on the second worker alone. */
+    void submitAdvised(String id, String payload, String steps) throws Exception {
+        for (EmulatedWorker w : workers) {
+            w.requireTickets(advisor);
+        }
+        submit(ADVISED_PREFIX, id, payload, steps);
+    }
+
+    private void submit(String prefix, String id, String payload, String steps) throws Exception {
         String body = "{\"specification\":\"" + payload + "\",\"steps\":" + steps + "}";
         Await.until("submitted " + id, START_TIMEOUT_MS, () -> {
             for (String e : ingress.keySet()) {
-                if (daemon(e).alive() && call(e, "POST", id, body, KEY).statusCode() == OK) {
+                if (daemon(e).alive() && send(e, "POST", prefix + id, body, KEY).statusCode() == OK) {
                     return true;
                 }
             }
@@ -177,7 +197,12 @@
     }
 
     HttpResponse<String> call(String entry, String method, String id, String body, String key) throws Exception {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + ingress.get(entry) + PREFIX + id))
+        return send(entry, method, PREFIX + id, body, key);
+    }
+
+    private HttpResponse<String> send(String entry, String method, String path, String body, String key)
+            throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + ingress.get(entry) + path))
                 .timeout(CALL_TIMEOUT)
                 .header("Authorization", "Bearer " + key)
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
@@ -192,5 +217,6 @@
         }
         workers.forEach(EmulatedWorker::close);
         store.close();
+        advisor.close();
     }
 }
