--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -28,6 +28,9 @@
         }
     }
 
+    /** A run that failed this soon after its placement failed at its start, in milliseconds; its report takes half of it. */
+    private static final long AT_ONCE_MS = 300;
+
     private final DecisionLog log;
     private final Map<String, JobProgress> jobs = new LinkedHashMap<>();
     private final Map<String, WorkerBook> workers = new TreeMap<>();
@@ -323,7 +326,12 @@
         StepSpec spec = job.spec(t.id());
         List<TaskProgress> failed = spec.gang() ? job.step(t.id()) : List.of(t);
         failed.forEach(m -> m.fail(w.name()));
-        w.health().failed(t.id(), nowMs);
+        boolean atOnce = nowMs - t.placedMs() <= AT_ONCE_MS;
+        if (atOnce && job.failsAtOnceOnlyOn(w.name())) {
+            w.health().failedAtOnce(t.id(), nowMs);
+        } else {
+            w.health().failed(t.id(), nowMs);
+        }
         if (!spec.longRunning() && t.failures() >= job.job().maxAttempts()) {
             end(job, JobPhase.FAILED, nowMs);
             return;
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -21,6 +21,7 @@
     private final Map<Integer, List<List<TaskProgress>>> occurrences = new TreeMap<>();
     private JobPhase phase = JobPhase.QUEUED;
     private long endedMs;
+    private String failedAtOnceOn = "";
 
     /**
      * Creates the progress of a job that was just accepted.
@@ -138,6 +139,14 @@
         return tasks.stream().allMatch(t -> t.state() == TaskProgress.State.DONE);
     }
 
+    /** Notes that a task failed at its start, and tells whether that was seen on this worker alone: else the job is to blame. */
+    boolean failsAtOnceOnlyOn(String worker) {
+        if (failedAtOnceOn.isEmpty()) {
+            failedAtOnceOn = worker;
+        }
+        return failedAtOnceOn.equals(worker);
+    }
+
     void started() {
         if (phase == JobPhase.QUEUED) {
             phase = JobPhase.RUNNING;
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -207,8 +207,11 @@
         return allowed;
     }
 
-    /** Tells whether a worker may be to blame for a failure that the tasks cannot afford once more. */
-    private static boolean avoided(Unit unit, WorkerBook w) {
+    /** Tells whether a worker fails tasks at their start, or may be to blame for a failure that these cannot afford again. */
+    private boolean avoided(Unit unit, WorkerBook w) {
+        if (w.health().suspect(nowMs)) {
+            return true;
+        }
         boolean lastAttempt = unit.tasks().stream()
                 .anyMatch(t -> t.failures() + 1 >= unit.job().job().maxAttempts());
         return unit.tasks().stream()
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerHealth.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerHealth.java
@@ -3,8 +3,8 @@
 /**
  * Judges from the ends of runs whether a worker fails whatever it starts.
  *
- * <p>A worker on which several different tasks failed, with none done in between, is set aside for a while that doubles
- * with each further failure. Not safe for use by many threads: the scheduler's thread owns it.
+ * <p>A worker on which several different tasks failed, with none done in between, is set aside for a while that doubles with
+ * each further failure. One on which a task failed right after its start is suspect: used only where no other would do. Not safe for use by many threads: the scheduler's thread owns it.
  */
 final class WorkerHealth {
     /** Failures in a row that set a worker aside: one may be the task's own fault. */
@@ -17,6 +17,13 @@
     private int failures;
     private String lastJob = "";
     private long asideUntilMs;
+    private long suspectUntilMs;
+
+    /** Takes a failure right after a start, which tasks by themselves hardly ever show. */
+    void failedAtOnce(TaskId task, long nowMs) {
+        failed(task, nowMs);
+        suspectUntilMs = nowMs + FIRST_ASIDE_MS;
+    }
 
     void failed(TaskId task, long nowMs) {
         // A job whose tasks fail one after the other says little about the worker.
@@ -39,12 +46,17 @@
         failures = 0;
         lastJob = "";
         asideUntilMs = 0;
+        suspectUntilMs = 0;
     }
 
     boolean aside(long nowMs) {
         return nowMs < asideUntilMs;
     }
 
+    boolean suspect(long nowMs) {
+        return nowMs < suspectUntilMs;
+    }
+
     int failures() {
         return failures;
     }
--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -429,4 +429,35 @@
 
         assertThat(advice.takeQuestions()).isEmpty();
     }
+
+    // On scale-2 of ctread-hosted each of three urgent jobs lost an attempt on a worker that failed whatever it
+    // started.
+    @Test
+    void avoidsAWorkerThatFailsATaskAtItsStart() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        sample.submit(Jobs.job("a").attempts(3).step(Jobs.step(1, 8)));
+        sample.end("w1", 1, "a.0.0.0", 1, EndKind.FAILED);
+        assertThat(sample.orders("w2").runs()).hasSize(1);
+
+        sample.submit(Jobs.job("b").step(Jobs.step(1, 1)));
+        assertThat(sample.orders("w1").runs()).isEmpty();
+        sample.pass(PlacementPass.AVOID_MS + 1);
+
+        assertThat(sample.orders("w1").runs()).hasSize(1);
+    }
+
+    @Test
+    void blamesTheJobThatFailsAtItsStartOnSeveralWorkers() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        sample.submit(Jobs.job("poison").attempts(4).step(Jobs.step(1, 8)));
+        sample.end("w1", 1, "poison.0.0.0", 1, EndKind.FAILED);
+        sample.end("w2", 1, "poison.0.0.0", 2, EndKind.FAILED);
+        sample.cancel("poison");
+
+        sample.submit(Jobs.job("sound").step(Jobs.step(1, 8)));
+
+        assertThat(sample.orders("w2").runs()).hasSize(1);
+    }
 }
