Name the clients of the own interface's services for what they are

The package daemon.internal.platform had the name of the module that meets the users' platform, which it does not know. It is daemon.internal.services now.

--- a/bench/src/main/java/io/pollenreach/bench/load/MemoryRuntime.java
+++ b/bench/src/main/java/io/pollenreach/bench/load/MemoryRuntime.java
@@ -8,9 +8,9 @@
 
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
-import io.pollenreach.daemon.internal.platform.TaskRuntime;
-import io.pollenreach.daemon.internal.platform.TaskStatus;
-import io.pollenreach.daemon.internal.platform.TaskStatus.State;
+import io.pollenreach.daemon.internal.services.TaskRuntime;
+import io.pollenreach.daemon.internal.services.TaskStatus;
+import io.pollenreach.daemon.internal.services.TaskStatus.State;
 
 /**
  * A worker's runtime in memory, whose tasks run until they are stopped and whose leases never lapse.
--- a/bench/src/main/java/io/pollenreach/bench/standin/StoreCalls.java
+++ b/bench/src/main/java/io/pollenreach/bench/standin/StoreCalls.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
-import io.pollenreach.daemon.internal.platform.PlatformWire;
-import io.pollenreach.daemon.internal.platform.Row;
+import io.pollenreach.daemon.internal.services.PlatformWire;
+import io.pollenreach.daemon.internal.services.Row;
 
 /**
  * The calls to the table service and the object store, within their rates.
--- a/bench/src/main/java/io/pollenreach/bench/standin/TableStore.java
+++ b/bench/src/main/java/io/pollenreach/bench/standin/TableStore.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import io.pollenreach.daemon.internal.platform.Row;
-import io.pollenreach.daemon.internal.platform.RowList;
-import io.pollenreach.daemon.internal.platform.Write;
+import io.pollenreach.daemon.internal.services.Row;
+import io.pollenreach.daemon.internal.services.RowList;
+import io.pollenreach.daemon.internal.services.Write;
 
 /**
  * The rows of the table service.
--- a/bench/src/main/java/io/pollenreach/bench/standin/Task.java
+++ b/bench/src/main/java/io/pollenreach/bench/standin/Task.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 
-import io.pollenreach.daemon.internal.platform.TaskStatus;
+import io.pollenreach.daemon.internal.services.TaskStatus;
 
 /**
  * A task of the runtime.
--- a/bench/src/main/java/io/pollenreach/bench/standin/WorkerCalls.java
+++ b/bench/src/main/java/io/pollenreach/bench/standin/WorkerCalls.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
-import io.pollenreach.daemon.internal.platform.PlatformWire;
-import io.pollenreach.daemon.internal.platform.TaskStatus;
+import io.pollenreach.daemon.internal.services.PlatformWire;
+import io.pollenreach.daemon.internal.services.TaskStatus;
 import ratpack.exec.Promise;
 
 /** The calls to the runtime of one worker. Immutable, so safe for use by many threads. */
--- a/bench/src/main/java/io/pollenreach/bench/standin/WorkerRuntime.java
+++ b/bench/src/main/java/io/pollenreach/bench/standin/WorkerRuntime.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collectors;
 
 import io.pollenreach.Clock;
-import io.pollenreach.daemon.internal.platform.TaskStatus;
+import io.pollenreach.daemon.internal.services.TaskStatus;
 
 /**
  * The runtime of one worker.
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/LeaseKeeper.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/LeaseKeeper.java
@@ -9,8 +9,8 @@
 
 import io.pollenreach.Clock;
 import io.pollenreach.daemon.internal.log.Events;
-import io.pollenreach.daemon.internal.platform.TaskRuntime;
-import io.pollenreach.daemon.internal.platform.TaskStatus;
+import io.pollenreach.daemon.internal.services.TaskRuntime;
+import io.pollenreach.daemon.internal.services.TaskStatus;
 import io.pollenreach.internal.wire.PartState;
 
 /**
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/OrphanStopper.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/OrphanStopper.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.pollenreach.daemon.internal.log.Events;
-import io.pollenreach.daemon.internal.platform.TaskRuntime;
-import io.pollenreach.daemon.internal.platform.TaskStatus;
+import io.pollenreach.daemon.internal.services.TaskRuntime;
+import io.pollenreach.daemon.internal.services.TaskStatus;
 
 /**
  * Stops, when an agent starts, the tasks that an earlier agent left behind.
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
@@ -5,8 +5,8 @@
 
 import io.pollenreach.Clock;
 import io.pollenreach.daemon.internal.log.Events;
-import io.pollenreach.daemon.internal.platform.TaskRuntime;
 import io.pollenreach.daemon.internal.rpc.Rpc;
+import io.pollenreach.daemon.internal.services.TaskRuntime;
 import io.pollenreach.internal.gang.GangLeader;
 import io.pollenreach.internal.gang.GangMember;
 import io.pollenreach.internal.gang.GangTimes;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerGuard.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerGuard.java
@@ -8,7 +8,7 @@
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
-import io.pollenreach.daemon.internal.platform.TaskRuntime;
+import io.pollenreach.daemon.internal.services.TaskRuntime;
 import io.pollenreach.internal.gang.GangLeader;
 import io.pollenreach.internal.gang.GangMember;
 import io.pollenreach.internal.gang.PartKey;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigSnapshot.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigSnapshot.java
@@ -9,8 +9,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pollenreach.Workspace;
-import io.pollenreach.daemon.internal.platform.Row;
-import io.pollenreach.daemon.internal.platform.RowList;
+import io.pollenreach.daemon.internal.services.Row;
+import io.pollenreach.daemon.internal.services.RowList;
 import io.pollenreach.internal.json.Json;
 
 /**
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigTable.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigTable.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicReference;
 
-import io.pollenreach.daemon.internal.platform.RowList;
+import io.pollenreach.daemon.internal.services.RowList;
 
 /**
  * The configuration in force at this entry.
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobStore.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobStore.java
@@ -11,10 +11,10 @@
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
-import io.pollenreach.daemon.internal.platform.Row;
-import io.pollenreach.daemon.internal.platform.RowList;
-import io.pollenreach.daemon.internal.platform.Table;
-import io.pollenreach.daemon.internal.platform.Write;
+import io.pollenreach.daemon.internal.services.Row;
+import io.pollenreach.daemon.internal.services.RowList;
+import io.pollenreach.daemon.internal.services.Table;
+import io.pollenreach.daemon.internal.services.Write;
 import io.pollenreach.internal.jobs.JobRecord;
 import io.pollenreach.internal.json.Json;
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/platform/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Clients of the platform's services. */
-package io.pollenreach.daemon.internal.platform;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/platform/Delays.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/services/Delays.java
@@ -1,4 +1,4 @@
-package io.pollenreach.daemon.internal.platform;
+package io.pollenreach.daemon.internal.services;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/agent/FakeRuntime.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/agent/FakeRuntime.java
@@ -9,9 +9,9 @@
 import io.pollenreach.ManualClock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
-import io.pollenreach.daemon.internal.platform.TaskRuntime;
-import io.pollenreach.daemon.internal.platform.TaskStatus;
-import io.pollenreach.daemon.internal.platform.TaskStatus.State;
+import io.pollenreach.daemon.internal.services.TaskRuntime;
+import io.pollenreach.daemon.internal.services.TaskStatus;
+import io.pollenreach.daemon.internal.services.TaskStatus.State;
 
 /** A runtime in memory, which kills tasks whose lease lapsed. Used by one thread. */
 final class FakeRuntime implements TaskRuntime {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/agent/GangGuardTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/agent/GangGuardTest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 import io.pollenreach.ResultCode;
-import io.pollenreach.daemon.internal.platform.TaskStatus.State;
+import io.pollenreach.daemon.internal.services.TaskStatus.State;
 import io.pollenreach.internal.gang.GangTimes;
 import io.pollenreach.internal.wire.AttemptId;
 import io.pollenreach.internal.wire.Release;
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/agent/WorkerAgentTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/agent/WorkerAgentTest.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.pollenreach.ResultCode;
-import io.pollenreach.daemon.internal.platform.TaskStatus.State;
+import io.pollenreach.daemon.internal.services.TaskStatus.State;
 import io.pollenreach.internal.wire.AttemptId;
 import io.pollenreach.internal.wire.Message;
 import io.pollenreach.internal.wire.PartAnswer;
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/FakeTable.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/FakeTable.java
@@ -10,10 +10,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
-import io.pollenreach.daemon.internal.platform.Row;
-import io.pollenreach.daemon.internal.platform.RowList;
-import io.pollenreach.daemon.internal.platform.Table;
-import io.pollenreach.daemon.internal.platform.Write;
+import io.pollenreach.daemon.internal.services.Row;
+import io.pollenreach.daemon.internal.services.RowList;
+import io.pollenreach.daemon.internal.services.Table;
+import io.pollenreach.daemon.internal.services.Write;
 
 /** A table service in memory that can be down or lose answers. Safe for use by many threads. */
 final class FakeTable implements Table {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/RequestPathTest.java
@@ -10,7 +10,7 @@
 import io.pollenreach.ManualClock;
 import io.pollenreach.ResultCode;
 import io.pollenreach.Workspace;
-import io.pollenreach.daemon.internal.platform.Write;
+import io.pollenreach.daemon.internal.services.Write;
 import io.pollenreach.internal.claims.ClaimRow;
 import io.pollenreach.internal.json.Json;
 import io.pollenreach.internal.membership.EntryView;
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/platform/CircuitBreakerTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/services/CircuitBreakerTest.java
@@ -1,9 +1,9 @@
-package io.pollenreach.daemon.internal.platform;
+package io.pollenreach.daemon.internal.services;
 
 import io.pollenreach.ManualClock;
-import io.pollenreach.daemon.internal.platform.CircuitBreaker.Admission;
-import io.pollenreach.daemon.internal.platform.CircuitBreaker.State;
-import io.pollenreach.daemon.internal.platform.CircuitBreaker.Verdict;
+import io.pollenreach.daemon.internal.services.CircuitBreaker.Admission;
+import io.pollenreach.daemon.internal.services.CircuitBreaker.State;
+import io.pollenreach.daemon.internal.services.CircuitBreaker.Verdict;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
