Tell fillers their pace when they are first seen

Cause: the pace that an earlier process of the agent had told was not known to its successor, which took it for full and would never have raised it. Found by reading. tellsAFillerItsPaceWhenItIsFirstSeen failed first. Change: a filler is told its pace once when it is first seen, and again when the worker did not take it.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/FillerPacer.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/FillerPacer.java
@@ -57,8 +57,8 @@
                     fillers.size());
         }
         for (TaskRun run : fillers) {
-            if (told.getOrDefault(run, FillerPace.FULL) != pace.percent()) {
-                told.put(run, pace.percent());
+            Integer known = told.put(run, pace.percent());
+            if (known == null || known != pace.percent()) {
                 host.pace(run, pace.percent(), () -> told.remove(run));
             }
         }
--- /dev/null
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/FillerPacerTest.java
@@ -0,0 +1,61 @@
+package io.pollenreach.daemon.internal.work;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import io.pollenreach.internal.batch.TaskId;
+import io.pollenreach.internal.batch.TaskRun;
+import io.pollenreach.internal.batch.WorkOrders.OrderedRun;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FillerPacerTest {
+    private static final TaskRun SERVING = new TaskRun(TaskId.of("serving.0.0.0"), 1);
+    private static final TaskRun FILLER = new TaskRun(TaskId.of("filler.0.0.0"), 1);
+    private static final List<OrderedRun> RUNS =
+            List.of(new OrderedRun(SERVING, "", "", "", 100, false), new OrderedRun(FILLER, "", "", "", 0, true));
+
+    private final FillerPacer pacer = new FillerPacer(0);
+    private final List<Integer> told = new ArrayList<>();
+    private boolean fails;
+
+    private void poll(int latencyMs, long nowMs) {
+        pacer.adjust(RUNS, Map.of(SERVING, latencyMs), nowMs, (run, percent, failed) -> {
+            assertThat(run).isEqualTo(FILLER);
+            told.add(percent);
+            if (fails) {
+                failed.run();
+            }
+        });
+    }
+
+    // An earlier process of the agent may have slowed it.
+    @Test
+    void tellsAFillerItsPaceWhenItIsFirstSeen() {
+        poll(10, 100);
+        poll(10, 200);
+
+        assertThat(told).containsExactly(100);
+    }
+
+    @Test
+    void slowsFillersWhileATargetIsMissed() {
+        poll(10, 100);
+        poll(150, 1_000);
+
+        assertThat(told).containsExactly(100, 25);
+    }
+
+    @Test
+    void tellsAPaceAgainThatTheWorkerDidNotTake() {
+        fails = true;
+        poll(10, 100);
+        fails = false;
+        poll(10, 200);
+        poll(10, 300);
+
+        assertThat(told).containsExactly(100, 100);
+    }
+}
