--- a/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/ClusterBookTest.java
@@ -460,4 +460,26 @@
 
         assertThat(sample.orders("w2").runs()).hasSize(1);
     }
+
+    @Test
+    void placesOnlyWhereTheLabelIs() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r2");
+        StepSpec step = Jobs.step(9, 1).toBuilder().requiredLabel("r2").build();
+        sample.submit(Jobs.job("a").step(step));
+
+        assertThat(sample.orders("w1").runs()).isEmpty();
+        assertThat(sample.orders("w2").runs()).hasSize(8);
+    }
+
+    @Test
+    void keepsTheLimitOfTasksAWorker() {
+        sample.worker("w1", "r1");
+        sample.worker("w2", "r1");
+        StepSpec step = Jobs.step(6, 1).toBuilder().maxPerWorker(2).build();
+        sample.submit(Jobs.job("a").step(step));
+
+        assertThat(sample.orders("w1").runs()).hasSize(2);
+        assertThat(sample.orders("w2").runs()).hasSize(2);
+    }
 }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformFaultsTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformFaultsTest.java
@@ -130,4 +130,18 @@
 
         awaitEnds(ids);
     }
+
+    @Test
+    void answersCallsThatComeWhileAnEntryShutsDown() throws Exception {
+        List<String> ids = submitJobs(100);
+        cluster.daemon("e1").terminate();
+        for (int i = 0; i < 50; i++) {
+            assertThat(cluster.call("e1", "GET", ids.get(0), "", PlatformCluster.KEY)
+                            .statusCode())
+                    .isEqualTo(200);
+        }
+
+        assertThat(cluster.daemon("e1").awaitExit(6_000)).isTrue();
+        awaitEnds(ids);
+    }
 }
