Ask the list of machines of workers that fell silent

Ruled out: a shorter lease, since stores are away for 4 to 4.5 s and all work would lapse. Change: of workers that hold runs and missed two reports while the store was heard, the leader asks a new port, WorkerRegistry; a process that it does not name has ended, and is declared lost by the same compare-and-set as before. A list that names no known worker is not trusted.

--- a/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ClusterBook.java
@@ -348,6 +348,18 @@
                 .toList();
     }
 
+    /** Tells whether any known worker is among some, by the platform's names. */
+    public boolean knowsAny(Set<String> instances) {
+        return workers.values().stream()
+                .anyMatch(w -> instances.contains(w.report().instance()));
+    }
+
+    /** Tells whether an agent's worker may be occupied by runs. */
+    public boolean holdsRuns(String agent) {
+        WorkerBook w = workers.get(agent);
+        return w != null && w.heldTasks().findAny().isPresent();
+    }
+
     /** Returns the store's version of an agent's newest report; 0 when there is none. */
     public long reportVersion(String agent) {
         WorkerBook w = workers.get(agent);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
@@ -12,6 +12,7 @@
 import io.pollenreach.daemon.internal.scheduler.Advisor;
 import io.pollenreach.daemon.internal.scheduler.LeaderWatch;
 import io.pollenreach.daemon.internal.scheduler.Scheduler;
+import io.pollenreach.daemon.internal.scheduler.WorkerRegistry;
 import io.pollenreach.daemon.internal.store.StateStore;
 import io.pollenreach.daemon.internal.store.TableWatch;
 
@@ -65,6 +66,7 @@
      * @param configTable the table that holds the configuration
      * @param decoder makes what puts rows of that table into force in a directory
      * @param advisor knows which workers may run the steps of advised queues
+     * @param registry knows which worker processes exist
      * @param bounds what bounds it
      * @param metrics where it counts
      */
@@ -74,6 +76,7 @@
             String configTable,
             Function<QueueDirectory, TableWatch.Listener> decoder,
             Advisor advisor,
+            WorkerRegistry registry,
             Bounds bounds,
             MeterRegistry metrics) {
         this.bounds = bounds;
@@ -83,8 +86,8 @@
         directory = new QueueDirectory(() -> ageMs(keyClock), bounds.keyAgeMs() - KEY_SLACK_MS);
         config = new TableWatch(store, configTable, CONFIG_WAIT_MS, keyClock, decoder.apply(directory));
         leader = new LeaderWatch(store, clock);
-        scheduler =
-                new Scheduler(name, store, leader, directory::guarantees, advisor, clock, bounds.leaseMs(), metrics);
+        scheduler = new Scheduler(
+                name, store, leader, directory::guarantees, advisor, registry, clock, bounds.leaseMs(), metrics);
         intake = new JobIntake(store, leader::healthy, clock);
         Gauge.builder("pollenreach.config.version", directory, QueueDirectory::version)
                 .register(metrics);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -44,6 +44,7 @@
     private final LeaderWatch leader;
     private final Supplier<Map<String, Integer>> guarantees;
     private final Advisor advisor;
+    private final WorkerRegistry registry;
     private final Clock clock;
     private final long leaseMs;
     private final MeterRegistry metrics;
@@ -60,6 +61,7 @@
      * @param leader who schedules, followed by the caller
      * @param guarantees the accelerators that each workspace is guaranteed, as now in force
      * @param advisor knows which workers may run the steps of advised queues
+     * @param registry knows which worker processes exist
      * @param clock tells the time
      * @param leaseMs how long a worker keeps its runs after its agent's last report, in milliseconds
      * @param metrics counts the decisions
@@ -70,6 +72,7 @@
             LeaderWatch leader,
             Supplier<Map<String, Integer>> guarantees,
             Advisor advisor,
+            WorkerRegistry registry,
             Clock clock,
             long leaseMs,
             MeterRegistry metrics) {
@@ -78,6 +81,7 @@
         this.leader = leader;
         this.guarantees = guarantees;
         this.advisor = advisor;
+        this.registry = registry;
         this.clock = clock;
         this.leaseMs = leaseMs;
         this.metrics = metrics;
@@ -150,7 +154,7 @@
         long taken = store.commit(tx).join();
         outcomeUnknown = false;
         EVENTS.info("leader-elected", "entry", self, "term", taken, "before", holder);
-        Term t = new Term(self, taken, store, leader, guarantees, advisor, clock, leaseMs, this::note);
+        Term t = new Term(self, taken, store, leader, guarantees, advisor, registry, clock, leaseMs, this::note);
         term = t;
         try {
             t.load();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -44,6 +45,12 @@
     /** Workers have this long to report again after the store was away, in milliseconds; asked for by the users. */
     private static final long RETURN_MS = 2_000;
 
+    /** Silence after which the registry is asked of a worker that holds runs, in milliseconds: two reports missed. */
+    private static final long SUSPECT_MS = 1_700;
+
+    /** Shortest pause between two such questions, in milliseconds; the platform takes a few dozen a second from all. */
+    private static final long REGISTRY_PAUSE_MS = 500;
+
     /** Longest pause between two passes, in milliseconds. */
     private static final long TICK_MS = 200;
 
@@ -61,6 +68,7 @@
     private final LeaderWatch leader;
     private final Supplier<Map<String, Integer>> guarantees;
     private final Advisor advisor;
+    private final WorkerRegistry registry;
     private final Clock clock;
     private final long lostAfterMs;
     private final ClusterBook book;
@@ -70,9 +78,15 @@
     private long beats;
     private long beatenMs;
     private long expiredMs;
+    private long askedRegistryMs;
+    /** The question of the registry that is under way; null for none. */
+    private Registered answer;
     /** Whether the store has refused the newest decisions; more of them would rest on what nobody was told. */
     private boolean unstored;
 
+    /** Workers that were silent, and what the registry says. Immutable. */
+    private record Registered(List<WorkerReport> suspects, CompletableFuture<Set<String>> existing) {}
+
     Term(
             String self,
             long version,
@@ -80,6 +94,7 @@
             LeaderWatch leader,
             Supplier<Map<String, Integer>> guarantees,
             Advisor advisor,
+            WorkerRegistry registry,
             Clock clock,
             long leaseMs,
             DecisionLog log) {
@@ -89,6 +104,7 @@
         this.leader = leader;
         this.guarantees = guarantees;
         this.advisor = advisor;
+        this.registry = registry;
         this.clock = clock;
         book = new ClusterBook(log);
         lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_SLACK_MS;
@@ -203,6 +219,7 @@
         }
         long nowMs = clock.nowMs();
         loseSilentWorkers(nowMs);
+        askOfSilentWorkers(nowMs);
         book.setGuarantees(guarantees.get());
         if (!unstored) {
             book.plan(nowMs, clock.wallMs());
@@ -246,31 +263,82 @@
             return;
         }
         for (WorkerReport report : book.silentFor(lostAfterMs, nowMs)) {
-            WorkerReport lost = report.asLost();
-            long reportVersion = book.reportVersion(report.agent());
-            Transaction tx = guarded()
-                    .expect(Tables.WORKERS, report.agent(), reportVersion)
-                    .write(Tables.WORKERS, report.agent(), RowCodec.toValue(lost));
-            try {
-                long at = store.commit(tx).join();
-                EVENTS.warn(
-                        "worker-declared-lost",
-                        "worker",
-                        report.agent(),
-                        "incarnation",
-                        report.incarnation(),
-                        "report",
-                        reportVersion);
-                book.report(lost, at, nowMs);
-            } catch (RuntimeException e) {
-                PollenreachException failure = PollenreachException.of(e);
-                if (failure.code() == ResultCode.CONFLICT) {
-                    checkTerm();
-                    EVENTS.info("worker-reported-meanwhile", "worker", report.agent(), "report", reportVersion);
-                } else {
-                    rethrowUnlessUnavailable(failure);
-                    return;
-                }
+            declareLost(report, "silent", nowMs);
+        }
+    }
+
+    private void declareLost(WorkerReport report, String why, long nowMs) throws InterruptedException {
+        WorkerReport lost = report.asLost();
+        long reportVersion = book.reportVersion(report.agent());
+        Transaction tx = guarded()
+                .expect(Tables.WORKERS, report.agent(), reportVersion)
+                .write(Tables.WORKERS, report.agent(), RowCodec.toValue(lost));
+        try {
+            long at = store.commit(tx).join();
+            EVENTS.warn(
+                    "worker-declared-lost",
+                    "worker",
+                    report.agent(),
+                    "incarnation",
+                    report.incarnation(),
+                    "report",
+                    reportVersion,
+                    "why",
+                    why);
+            book.report(lost, at, nowMs);
+        } catch (RuntimeException e) {
+            PollenreachException failure = PollenreachException.of(e);
+            if (failure.code() != ResultCode.CONFLICT) {
+                rethrowUnlessUnavailable(failure);
+                return;
+            }
+            checkTerm();
+            EVENTS.info("worker-reported-meanwhile", "worker", report.agent(), "report", reportVersion);
+        }
+    }
+
+    /** Asks whether workers that hold runs and have fallen silent still exist: else nobody need wait for their leases. */
+    private void askOfSilentWorkers(long nowMs) throws InterruptedException {
+        if (answer != null && answer.existing().isDone()) {
+            takeExisting(nowMs);
+        }
+        boolean heard = leader.healthyFor(SUSPECT_MS) && workersWatch.healthyFor(0);
+        if (answer != null || !heard || nowMs - askedRegistryMs < REGISTRY_PAUSE_MS) {
+            return;
+        }
+        List<WorkerReport> suspects = book.silentFor(SUSPECT_MS, nowMs).stream()
+                .filter(r -> book.holdsRuns(r.agent()))
+                .toList();
+        if (!suspects.isEmpty()) {
+            askedRegistryMs = nowMs;
+            answer = new Registered(suspects, registry.existing());
+        }
+    }
+
+    private void takeExisting(long nowMs) throws InterruptedException {
+        Registered taken = answer;
+        answer = null;
+        Set<String> existing;
+        try {
+            existing = taken.existing().join();
+        } catch (RuntimeException e) {
+            PollenreachException failure = PollenreachException.of(e);
+            EVENTS.warn("registry-silent", "code", failure.code().number(), "error", failure.getMessage());
+            return;
+        }
+        if (!book.knowsAny(existing)) {
+            EVENTS.warn(
+                    "registry-distrusted",
+                    "named",
+                    existing.size(),
+                    "suspects",
+                    taken.suspects().size());
+            return;
+        }
+        for (WorkerReport suspect : taken.suspects()) {
+            boolean unchanged = book.silentFor(SUSPECT_MS, nowMs).contains(suspect);
+            if (unchanged && !existing.contains(suspect.instance())) {
+                declareLost(suspect, "unregistered", nowMs);
             }
         }
     }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
 import io.pollenreach.ManualClock;
 import io.pollenreach.PollenreachException;
@@ -27,7 +29,9 @@
 
     private final MemoryStore store = new MemoryStore();
     private final ManualClock clock = new ManualClock();
-    private Advisor advisor = Advisor.none();
+    private final LeaderWatch leader = new LeaderWatch(store, clock);
+    private final Advisor advisor = Advisor.none();
+    private WorkerRegistry registry = WorkerRegistry.none();
     private Term term;
 
     @BeforeEach
@@ -42,9 +46,10 @@
                 "e1",
                 version,
                 store,
-                new LeaderWatch(store, clock),
+                leader,
                 () -> Map.of("lab", 8),
                 advisor,
+                registry,
                 clock,
                 LEASE_MS,
                 (event, pairs) -> {});
@@ -140,4 +145,38 @@
                 .sum();
         assertThat(stops).isEqualTo(1);
     }
+
+    private long secondRuns(Set<String> existing) throws Exception {
+        registry = () -> CompletableFuture.completedFuture(existing);
+        worker("w1");
+        worker("w2");
+        job("a", 1, "team", 1, 8);
+        store.answerFirstWatches();
+        leader.start();
+        load();
+        term.step();
+        clock.advanceMs(2_500);
+        term.step();
+        term.step();
+        return orders("w1", "w2").stream()
+                .filter(o -> o.runs().stream().anyMatch(r -> r.run().run() == 2))
+                .count();
+    }
+
+    // On trouble-3 of rqt-pollen a zone was below its floor: its urgent job waited 6.3 s for the lease of a removed
+    // worker.
+    @Test
+    void doesNotWaitForTheLeaseOfAWorkerThatNoLongerExists() throws Exception {
+        assertThat(secondRuns(Set.of("w2"))).isEqualTo(1);
+    }
+
+    @Test
+    void waitsForTheLeaseOfASilentWorkerThatExists() throws Exception {
+        assertThat(secondRuns(Set.of("w1", "w2"))).isZero();
+    }
+
+    @Test
+    void distrustsARegistryThatNamesNoKnownWorker() throws Exception {
+        assertThat(secondRuns(Set.of())).isZero();
+    }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
@@ -1,7 +1,9 @@
 package io.pollenreach.daemon.internal.store;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
@@ -14,6 +16,7 @@
     private long version;
     private ResultCode failure;
     private boolean silent;
+    private final Set<String> unwatched = new HashSet<>();
 
     /** Fails every commit with a code; null ends that. */
     public synchronized void failCommits(ResultCode code) {
@@ -45,10 +48,17 @@
         return CompletableFuture.completedFuture(new Rows(version, found));
     }
 
-    /** Never answers: tests hand changes over themselves. */
+    /** Answers the first wait for changes of the leader and of the workers with none. */
+    public synchronized void answerFirstWatches() {
+        unwatched.addAll(List.of(Tables.LEADER, Tables.WORKERS));
+    }
+
+    /** Never answers, but as told: tests hand changes over themselves. */
     @Override
-    public CompletableFuture<Rows> changes(String table, long after, long waitMs) {
-        return new CompletableFuture<>();
+    public synchronized CompletableFuture<Rows> changes(String table, long after, long waitMs) {
+        return unwatched.remove(table)
+                ? CompletableFuture.completedFuture(new Rows(after, List.of()))
+                : new CompletableFuture<>();
     }
 
     @Override
