Give schedulers one context, and sum and stop things in one place

Cause: read as a newcomer, Scheduler and Term repeated nine arguments, fields and their documentation; two servers had the same way to stop; the room that runs and stops hold was summed in WorkerBook and again in PlacementPass. Change: SchedulerContext, HttpListener.stop, WorkerBook.held. No change of behaviour.

--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -256,9 +256,7 @@
             return;
         }
         claims++;
-        Room whole = new Room(usable, w -> room.of(w)
-                .plus(w.heldByStops())
-                .plus(w.heldByRuns().values().stream().reduce(Resources.NONE, Resources::plus)));
+        Room whole = new Room(usable, w -> room.of(w).plus(w.held()));
         whole.fit(unit.tasks(), unit.spec(), close(unit, usable), oneRack(unit), w -> untilFitsMs(unit, w))
                 .ifPresent(a -> room.take(a, unit.spec().occupied()));
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerBook.java
@@ -111,14 +111,12 @@
     }
 
     Resources free() {
-        Resources used = Resources.NONE;
-        for (Held h : runs.values()) {
-            used = used.plus(h.held());
-        }
-        for (Stop s : stops.values()) {
-            used = used.plus(s.held);
-        }
-        return report.capacity().minus(used);
+        return report.capacity().minus(held());
+    }
+
+    /** Returns what everything that may occupy the worker takes of it. */
+    Resources held() {
+        return runs.values().stream().map(Held::held).reduce(heldByStops(), Resources::plus);
     }
 
     /** Returns what stops that are still fresh will free soon. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
@@ -12,6 +12,7 @@
 import io.pollenreach.daemon.internal.scheduler.Advisor;
 import io.pollenreach.daemon.internal.scheduler.LeaderWatch;
 import io.pollenreach.daemon.internal.scheduler.Scheduler;
+import io.pollenreach.daemon.internal.scheduler.SchedulerContext;
 import io.pollenreach.daemon.internal.scheduler.WorkerRegistry;
 import io.pollenreach.daemon.internal.store.StateStore;
 import io.pollenreach.daemon.internal.store.TableWatch;
@@ -87,7 +88,9 @@
         config = new TableWatch(store, configTable, CONFIG_WAIT_MS, keyClock, decoder.apply(directory));
         leader = new LeaderWatch(store, clock);
         scheduler = new Scheduler(
-                name, store, leader, directory::guarantees, advisor, registry, clock, bounds.leaseMs(), metrics);
+                new SchedulerContext(
+                        name, store, leader, directory::guarantees, advisor, registry, clock, bounds.leaseMs()),
+                metrics);
         intake = new JobIntake(store, leader::healthy, clock);
         Gauge.builder("pollenreach.config.version", directory, QueueDirectory::version)
                 .register(metrics);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/AdminServer.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/AdminServer.java
@@ -70,10 +70,6 @@
 
     @Override
     public void close() {
-        try {
-            server.stop();
-        } catch (Exception e) {
-            throw new PollenreachException(ResultCode.INTERNAL, null, "the HTTP server did not stop", e);
-        }
+        HttpListener.stop(server);
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
@@ -130,6 +130,10 @@
 
     @Override
     public void close() {
+        stop(server);
+    }
+
+    static void stop(RatpackServer server) {
         try {
             server.stop();
         } catch (Exception e) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -1,12 +1,9 @@
 package io.pollenreach.daemon.internal.scheduler;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.MeterRegistry;
-import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
@@ -39,14 +36,10 @@
     private static final long STOP_WAIT_MS = 1_500;
     private static final Events EVENTS = Events.of(Scheduler.class);
 
+    private final SchedulerContext context;
     private final String self;
     private final StateStore store;
     private final LeaderWatch leader;
-    private final Supplier<Map<String, Integer>> guarantees;
-    private final Advisor advisor;
-    private final WorkerRegistry registry;
-    private final Clock clock;
-    private final long leaseMs;
     private final MeterRegistry metrics;
     private final Thread thread = new Thread(this::run, "scheduler");
     private volatile boolean closed;
@@ -56,34 +49,14 @@
     /**
      * Creates a scheduler that does nothing yet.
      *
-     * @param self the name of this entry; unique
-     * @param store the store
-     * @param leader who schedules, followed by the caller
-     * @param guarantees the accelerators that each workspace is guaranteed, as now in force
-     * @param advisor knows which workers may run the steps of advised queues
-     * @param registry knows which worker processes exist
-     * @param clock tells the time
-     * @param leaseMs how long a worker keeps its runs after its agent's last report, in milliseconds
+     * @param context what it works with
      * @param metrics counts the decisions
      */
-    public Scheduler(
-            String self,
-            StateStore store,
-            LeaderWatch leader,
-            Supplier<Map<String, Integer>> guarantees,
-            Advisor advisor,
-            WorkerRegistry registry,
-            Clock clock,
-            long leaseMs,
-            MeterRegistry metrics) {
-        this.self = self;
-        this.store = store;
-        this.leader = leader;
-        this.guarantees = guarantees;
-        this.advisor = advisor;
-        this.registry = registry;
-        this.clock = clock;
-        this.leaseMs = leaseMs;
+    public Scheduler(SchedulerContext context, MeterRegistry metrics) {
+        this.context = context;
+        self = context.self();
+        store = context.store();
+        leader = context.leader();
         this.metrics = metrics;
         thread.setDaemon(true);
     }
@@ -154,7 +127,7 @@
         long taken = store.commit(tx).join();
         outcomeUnknown = false;
         EVENTS.info("leader-elected", "entry", self, "term", taken, "before", holder);
-        Term t = new Term(self, taken, store, leader, guarantees, advisor, registry, clock, leaseMs, this::note);
+        Term t = new Term(context, taken, this::note);
         term = t;
         try {
             t.load();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -87,27 +87,17 @@
     /** Workers that were silent, and what the registry says. Immutable. */
     private record Registered(List<WorkerReport> suspects, CompletableFuture<Set<String>> existing) {}
 
-    Term(
-            String self,
-            long version,
-            StateStore store,
-            LeaderWatch leader,
-            Supplier<Map<String, Integer>> guarantees,
-            Advisor advisor,
-            WorkerRegistry registry,
-            Clock clock,
-            long leaseMs,
-            DecisionLog log) {
-        this.self = self;
+    Term(SchedulerContext context, long version, DecisionLog log) {
         this.version = version;
-        this.store = store;
-        this.leader = leader;
-        this.guarantees = guarantees;
-        this.advisor = advisor;
-        this.registry = registry;
-        this.clock = clock;
+        self = context.self();
+        store = context.store();
+        leader = context.leader();
+        guarantees = context.guarantees();
+        advisor = context.advisor();
+        registry = context.registry();
+        clock = context.clock();
         book = new ClusterBook(log);
-        lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_SLACK_MS;
+        lostAfterMs = Math.round(context.leaseMs() * CLOCK_DRIFT) + LOST_SLACK_MS;
         expiredMs = clock.nowMs();
     }
 
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -30,7 +30,6 @@
     private final MemoryStore store = new MemoryStore();
     private final ManualClock clock = new ManualClock();
     private final LeaderWatch leader = new LeaderWatch(store, clock);
-    private final Advisor advisor = Advisor.none();
     private WorkerRegistry registry = WorkerRegistry.none();
     private Term term;
 
@@ -42,17 +41,9 @@
     private void load() {
         long version =
                 store.get(Tables.LEADER, Tables.TERM).join().orElseThrow().version();
-        term = new Term(
-                "e1",
-                version,
-                store,
-                leader,
-                () -> Map.of("lab", 8),
-                advisor,
-                registry,
-                clock,
-                LEASE_MS,
-                (event, pairs) -> {});
+        SchedulerContext context = new SchedulerContext(
+                "e1", store, leader, () -> Map.of("lab", 8), Advisor.none(), registry, clock, LEASE_MS);
+        term = new Term(context, version, (event, pairs) -> {});
         term.load();
     }
 
