Read the settings again on SIGHUP instead of ending

Cause: no program handled SIGHUP, so the JVM ended it with code 129; the platform sends it whenever a settings file changes. Change: HangupSignal takes the signal over before anything else runs, and SettingsReloader reads the file again on a signal and each 2 s without one, once its content has settled. A file that fails the checks leaves the settings in force (settings-rejected, numbered); settings that need a restart are named (1011). Live: the operators' token, peers, entries and drain timeouts; on the platform the addresses of the store, the advisor and the list of machines, the age of keys and the grace period. The lease stays until a restart, since agents and scheduler must agree on it. Result: SettingsReloadTest fails on a build without the handler (a process is gone, nothing is logged) and passes now.

--- a/core/src/main/java/io/pollenreach/ResultCode.java
+++ b/core/src/main/java/io/pollenreach/ResultCode.java
@@ -18,6 +18,7 @@
     CONTRADICTION(1008, 400, "Two values contradict each other."),
     WRONG_UNIT(1009, 400, "A value has the wrong unit or type."),
     UNKNOWN_KIND(1010, 400, "The kind of the declaration is not known."),
+    RESTART_REQUIRED(1011, 409, "The setting takes effect only when the process starts again."),
     UNAUTHENTICATED(2001, 401, "The token is missing or not known."),
     FORBIDDEN(2002, 403, "The token gives no access to this workspace."),
     NOT_FOUND(2003, 404, "There is no such resource."),
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
@@ -16,6 +16,7 @@
 import io.pollenreach.daemon.internal.rpc.RpcThreads;
 import io.pollenreach.daemon.internal.services.HttpTaskRuntime;
 import io.pollenreach.daemon.internal.settings.AgentSettings;
+import io.pollenreach.daemon.internal.settings.ReloadableDaemon;
 import io.pollenreach.internal.wire.Load;
 import io.pollenreach.internal.wire.TargetKind;
 
@@ -30,7 +31,7 @@
  * }
  * }</pre>
  */
-public final class AgentDaemon implements AutoCloseable {
+public final class AgentDaemon implements ReloadableDaemon<AgentSettings> {
     private static final int RPC_THREADS = 1;
     private static final int HTTP_THREADS = 1;
 
@@ -129,6 +130,11 @@
         return admin.port();
     }
 
+    @Override
+    public void reload(AgentSettings settings) {
+        node.reload(settings);
+    }
+
     /** Drains the target, waiting for work in flight up to the drain timeout, announces its departure, and stops. */
     @Override
     public void close() {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentNode.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentNode.java
@@ -33,7 +33,7 @@
     /** How long the last heartbeat, and stopping the remaining tasks, may each take on a shutdown, in milliseconds. */
     private static final long SHUTDOWN_STEP_TIMEOUT_MS = 2_000;
 
-    private final AgentSettings settings;
+    private volatile AgentSettings settings;
     private final RpcNode rpc;
     private final TargetAgent target;
     private final HomeLink home;
@@ -152,6 +152,12 @@
         return home;
     }
 
+    /** Puts changed settings in force. */
+    void reload(AgentSettings next) {
+        settings = next;
+        home.reload(next);
+    }
+
     /** Drains the target, waiting for work in flight up to the drain timeout, and announces that the target leaves. */
     void drain() {
         EVENTS.info("agent-draining", "target", settings.id(), "timeoutMs", settings.drainTimeoutMs());
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/HomeLink.java
@@ -31,7 +31,7 @@
     /** How often the announcement that the target leaves is tried; each try may go to another entry. */
     private static final int DEPARTURE_ATTEMPTS = 3;
 
-    private final AgentSettings settings;
+    private volatile AgentSettings settings;
     private final String address;
     private final Rpc rpc;
     private final Clock clock;
@@ -66,6 +66,11 @@
         lastContactMs = clock.nowMs();
     }
 
+    /** Puts changed settings in force. */
+    void reload(AgentSettings next) {
+        settings = next;
+    }
+
     /** Sends a heartbeat unless one is in flight. */
     void sendHeartbeat() {
         OutgoingHeartbeat heartbeat;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
@@ -53,9 +53,13 @@
      * @param keyAgeMs how long after its removal a key may still give access to a queue, in milliseconds
      * @param graceMs how long a graceful shutdown may take, in milliseconds
      */
-    public record Limits(long leaseMs, long keyAgeMs, long graceMs) {}
+    public record Limits(long leaseMs, long keyAgeMs, long graceMs) {
+        private long trustKeysForMs() {
+            return keyAgeMs - KEY_AGE_MARGIN_MS;
+        }
+    }
 
-    private final Limits limits;
+    private volatile Limits limits;
     private final Clock clock;
     private final QueueDirectory directory;
     private final TableWatch config;
@@ -90,7 +94,7 @@
         // After a suspension of the machine the known keys must count as old, so this clock includes suspended
         // time where possible.
         Clock keyClock = BootClock.createOrSystemClock();
-        directory = new QueueDirectory(() -> ageMs(keyClock), limits.keyAgeMs() - KEY_AGE_MARGIN_MS);
+        directory = new QueueDirectory(() -> ageMs(keyClock), limits.trustKeysForMs());
         config = new TableWatch(store, configTable, CONFIG_WAIT_MS, keyClock, decoder.apply(directory));
         leader = new LeaderWatch(store, clock);
         scheduler = new Scheduler(
@@ -104,6 +108,12 @@
                 .register(metrics);
     }
 
+    /** Puts other limits in force, but for the lease, which the agents must agree on and so needs a restart. */
+    public void setLimits(Limits next) {
+        limits = next;
+        directory.setMaxAgeMs(next.trustKeysForMs());
+    }
+
     private long ageMs(Clock keyClock) {
         return keyClock.nowMs() - config.freshAsOfMs();
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Access.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Access.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import com.google.common.hash.Hashing;
 import io.pollenreach.PollenreachException;
@@ -22,9 +23,9 @@
     private static final Events EVENTS = Events.of(Access.class);
 
     private final ConfigTable config;
-    private final String operatorSha256;
+    private final Supplier<String> operatorSha256;
 
-    Access(ConfigTable config, String operatorSha256) {
+    Access(ConfigTable config, Supplier<String> operatorSha256) {
         this.config = config;
         this.operatorSha256 = operatorSha256;
     }
@@ -32,7 +33,7 @@
     /** Fails unless the caller is an operator. */
     void requireOperator(Context ctx) {
         String hash = tokenHash(ctx);
-        if (same(hash, operatorSha256)) {
+        if (same(hash, operatorSha256.get())) {
             return;
         }
         refuse(ctx, isKnown(hash) ? ResultCode.FORBIDDEN : ResultCode.UNAUTHENTICATED, "operators only");
@@ -41,7 +42,7 @@
     /** Fails unless the caller is an operator or belongs to the workspace. */
     void requireWorkspace(Context ctx, String workspace) {
         String hash = tokenHash(ctx);
-        if (same(hash, operatorSha256)) {
+        if (same(hash, operatorSha256.get())) {
             return;
         }
         boolean member = config.get()
@@ -56,7 +57,7 @@
     /** Returns the workspace that the caller is confined to; empty for an operator. */
     Optional<String> confinement(Context ctx) {
         String hash = tokenHash(ctx);
-        if (same(hash, operatorSha256)) {
+        if (same(hash, operatorSha256.get())) {
             return Optional.empty();
         }
         Optional<String> name = config.get().workspaces().values().stream()
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -23,6 +23,7 @@
 import io.pollenreach.daemon.internal.services.HttpTable;
 import io.pollenreach.daemon.internal.services.Table;
 import io.pollenreach.daemon.internal.settings.EntrySettings;
+import io.pollenreach.daemon.internal.settings.ReloadableDaemon;
 import io.pollenreach.internal.membership.EntryInfo;
 import io.pollenreach.internal.membership.EntryView;
 import io.pollenreach.internal.placement.GuaranteedPlacer;
@@ -43,7 +44,7 @@
  * }
  * }</pre>
  */
-public final class EntryDaemon implements AutoCloseable {
+public final class EntryDaemon implements ReloadableDaemon<EntrySettings> {
     private static final int HTTP_THREADS = 2;
     private static final int PLATFORM_CONNECTIONS = 16;
     private static final long PLATFORM_TIMEOUT_MS = 2_000;
@@ -62,7 +63,7 @@
 
     private static final Events EVENTS = Events.of(EntryDaemon.class);
 
-    private final EntrySettings settings;
+    private volatile EntrySettings settings;
     private final Clock clock;
     private final HttpCaller http;
     private final RpcNode rpc;
@@ -118,7 +119,7 @@
         AgentHeartbeatHandler agents =
                 new AgentHeartbeatHandler(blackboard, clock, this::requestPlanning, requests::scheduleDispatch);
         handler = new PeerHandler(blackboard, membership, agents, config, jobs, this::ready);
-        Access access = new Access(blackboard.config(), settings.operatorTokenSha256());
+        Access access = new Access(blackboard.config(), () -> this.settings.operatorTokenSha256());
         int maxBody = settings.maxBodyBytes();
         RequestApi requestApi = new RequestApi(requests, claimed, access, clock, maxBody);
         StatusApi status = new StatusApi(blackboard, config, requests, metrics, this::ready, self, clock);
@@ -244,6 +245,11 @@
         return self.address();
     }
 
+    @Override
+    public void reload(EntrySettings next) {
+        settings = next;
+    }
+
     @Override
     public void close() throws Exception {
         EVENTS.info("entry-draining", "entry", settings.id(), "open", api.open());
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/QueueDirectory.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/QueueDirectory.java
@@ -29,7 +29,7 @@
     private static final Events EVENTS = Events.of(QueueDirectory.class);
 
     private final Age age;
-    private final long maxAgeMs;
+    private volatile long maxAgeMs;
     private volatile InForce inForce;
 
     /**
@@ -66,6 +66,11 @@
                 config.workspaceByKey().size());
     }
 
+    /** Changes the age beyond which keys open nothing, in milliseconds. */
+    public void setMaxAgeMs(long ageMs) {
+        maxAgeMs = ageMs;
+    }
+
     /** Tells whether a configuration is in force. */
     public boolean known() {
         return inForce != null;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/settings/AgentSettings.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/settings/AgentSettings.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.settings;
 
 import java.util.List;
+import java.util.Set;
 
 import io.pollenreach.internal.wire.TargetKind;
 
@@ -38,6 +39,9 @@
         int slots,
         int connections,
         long drainTimeoutMs) {
+    /** The settings that take effect without a restart. */
+    public static final Set<String> LIVE = Set.of("entries", "drainTimeoutMs");
+
     public AgentSettings {
         entries = entries == null ? List.of() : List.copyOf(entries);
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/settings/EntrySettings.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/settings/EntrySettings.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.settings;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Settings of the program {@code entry}.
@@ -29,6 +30,9 @@
         String operatorTokenSha256,
         int maxBodyBytes,
         long drainTimeoutMs) {
+    /** The settings that take effect without a restart. */
+    public static final Set<String> LIVE = Set.of("peers", "operatorTokenSha256", "drainTimeoutMs");
+
     public EntrySettings {
         peers = peers == null ? List.of() : List.copyOf(peers);
     }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/Api.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/Api.java
@@ -48,6 +48,13 @@
         return json(reply);
     }
 
+    /** Returns the HTTP status of reading a resource as an operator. */
+    int status(String entry, String path) {
+        return call("GET", entry, path, OPERATOR_TOKEN, Map.of(), EMPTY, TIMEOUT_MS)
+                .join()
+                .status();
+    }
+
     private static void requireSuccess(String path, HttpClientResponse reply) {
         if (reply.status() / 100 != 2) {
             throw new IllegalStateException(path + " answered " + reply.status() + " " + text(reply));
--- a/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
@@ -24,6 +24,7 @@
     private final List<String> command;
     private final Map<String, String> environment;
     private final File log;
+    private final Path settings;
     private Process process;
 
     /** Creates a daemon, which does not run yet; {@code program} is {@code entry} or {@code agent}. */
@@ -52,6 +53,7 @@
         this.name = name;
         this.command = command;
         this.environment = environment;
+        this.settings = settings;
         log = directory.resolve(name + ".log").toFile();
         Files.write(settings, settingsLines);
         Files.deleteIfExists(log.toPath());
@@ -118,6 +120,21 @@
         signal("-CONT");
     }
 
+    /** Sends SIGHUP, as when its settings file has changed. */
+    void hangUp() throws IOException, InterruptedException {
+        signal("-HUP");
+    }
+
+    /** Returns the lines of its settings file. */
+    List<String> settings() throws IOException {
+        return Files.readAllLines(settings);
+    }
+
+    /** Replaces the lines of its settings file. */
+    void writeSettings(List<String> lines) throws IOException {
+        Files.write(settings, lines);
+    }
+
     /** Returns its log. */
     String log() throws IOException {
         return Files.readString(log.toPath());
