--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -42,6 +42,7 @@
     private static final long STOP_MS = 50;
     private static final long CALL_TIMEOUT_MS = 500;
     private static final int PERCENT = 100;
+    private static final int OK = 200;
 
     private static final class Run {
         private final String task;
@@ -64,6 +65,9 @@
         }
     }
 
+    /** A poll that waits for a run to end. Immutable. */
+    private record Poll(JsonNode body, CompletableFuture<HttpServerResponse> answer) {}
+
     private final Clock clock = Clock.system();
     private final String instance;
     private final String rack;
@@ -73,6 +77,7 @@
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final TreeMap<Long, ObjectNode> ends = new TreeMap<>();
     private final Map<String, Integer> endedUpTo = new HashMap<>();
+    private final List<Poll> polls = new ArrayList<>();
     private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "emulated-worker");
         t.setDaemon(true);
@@ -169,6 +174,7 @@
         e.put("task", r.task).put("run", r.run).put("how", how);
         ends.put(++lastEnd, e);
         record.ended(r.task);
+        List.copyOf(polls).forEach(this::answerPoll);
     }
 
     private CompletableFuture<HttpServerResponse> answer(HttpServerRequest call) {
@@ -191,7 +197,25 @@
                 return new CompletableFuture<>();
             }
         }
-        return CompletableFuture.completedFuture(answer(call.path(), body));
+        return call.path().equals("/hold") ? poll(body) : CompletableFuture.completedFuture(answer(call.path(), body));
+    }
+
+    private synchronized CompletableFuture<HttpServerResponse> poll(JsonNode body) {
+        HttpServerResponse now = answer("/hold", body);
+        long waitMs = body.path("wait-ms").asLong();
+        if (now.status() != OK || waitMs == 0 || !ends.isEmpty()) {
+            return CompletableFuture.completedFuture(now);
+        }
+        Poll poll = new Poll(body, new CompletableFuture<>());
+        polls.add(poll);
+        timers.schedule(() -> answerPoll(poll), waitMs, TimeUnit.MILLISECONDS);
+        return poll.answer();
+    }
+
+    private synchronized void answerPoll(Poll poll) {
+        if (polls.remove(poll)) {
+            poll.answer().complete(answer("/hold", poll.body()));
+        }
     }
 
     private synchronized HttpServerResponse answer(String path, JsonNode body) {
