Start with less memory and fewer object mappers

Cause: an agent's start binds Ratpack's configuration through an object mapper of its own, loads a DNS client, and the young generation and Netty's arenas take 18 MB that nothing needs.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/AdminServer.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/AdminServer.java
@@ -1,10 +1,7 @@
 package io.pollenreach.daemon.internal.http;
 
-import java.net.InetAddress;
 import java.util.function.BooleanSupplier;
 
-import com.google.common.net.HostAndPort;
-import com.google.common.net.InetAddresses;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
@@ -19,6 +16,7 @@
  */
 public final class AdminServer implements AutoCloseable {
     private static final int THREADS = 1;
+    private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int UNAVAILABLE = 503;
 
     private final RatpackServer server;
@@ -39,10 +37,8 @@
     public static AdminServer start(
             String address, PrometheusMeterRegistry registry, BooleanSupplier ready, Action<? super Chain> more) {
         try {
-            HostAndPort at = HostAndPort.fromString(address);
-            InetAddress ip = InetAddresses.forString(at.getHost());
-            return new AdminServer(RatpackServer.start(spec -> spec.serverConfig(c ->
-                            c.address(ip).port(at.getPort()).threads(THREADS).development(false))
+            ListenerConfig config = ListenerConfig.of(address, THREADS, MAX_BODY_BYTES);
+            return new AdminServer(RatpackServer.start(spec -> spec.serverConfig(config)
                     .handlers(chain -> handlers(chain, registry, ready, more))));
         } catch (Exception e) {
             String detail = "cannot listen on " + address + ": " + e.getMessage();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
@@ -32,6 +32,8 @@
         client = HttpClient.of(s -> s.poolSize(connectionsPerHost)
                 .poolQueueSize(connectionsPerHost * 64)
                 .byteBufAllocator(PooledByteBufAllocator.DEFAULT)
+                // Addresses are numeric; Ratpack's resolver would load a DNS client.
+                .useJdkAddressResolver()
                 .connectTimeout(Duration.ofSeconds(1))
                 .maxContentLength(MAX_BODY_BYTES)
                 .execController(exec));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
@@ -1,12 +1,9 @@
 package io.pollenreach.daemon.internal.http;
 
-import java.net.InetAddress;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import com.google.common.net.HostAndPort;
-import com.google.common.net.InetAddresses;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
@@ -49,14 +46,8 @@
     public static HttpListener start(String address, int threads, int maxBodyBytes, Answerer answerer) {
         HttpListener listener = new HttpListener();
         try {
-            HostAndPort at = HostAndPort.fromString(address);
-            InetAddress ip = InetAddresses.forString(at.getHost());
-            listener.server = RatpackServer.start(spec -> spec.serverConfig(c -> c.address(ip)
-                            .port(at.getPort())
-                            .threads(threads)
-                            .registerShutdownHook(false)
-                            .development(false)
-                            .maxContentLength(maxBodyBytes))
+            ListenerConfig config = ListenerConfig.of(address, threads, maxBodyBytes);
+            listener.server = RatpackServer.start(spec -> spec.serverConfig(config)
                     .handlers(chain -> chain.all(ctx -> listener.handle(ctx, answerer))));
             return listener;
         } catch (Exception e) {
