--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/AdminServer.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/AdminServer.java
@@ -38,8 +38,8 @@
             String address, PrometheusMeterRegistry registry, BooleanSupplier ready, Action<? super Chain> more) {
         try {
             ListenerConfig config = ListenerConfig.of(address, THREADS, MAX_BODY_BYTES);
-            return new AdminServer(RatpackServer.start(spec -> spec.serverConfig(config)
-                    .handlers(chain -> handlers(chain, registry, ready, more))));
+            return new AdminServer(RatpackServer.start(
+                    spec -> spec.serverConfig(config).handlers(chain -> handlers(chain, registry, ready, more))));
         } catch (Exception e) {
             String detail = "cannot listen on " + address + ": " + e.getMessage();
             throw new PollenreachException(ResultCode.OUT_OF_RANGE, "httpAddress", detail, e);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
@@ -47,8 +47,8 @@
         HttpListener listener = new HttpListener();
         try {
             ListenerConfig config = ListenerConfig.of(address, threads, maxBodyBytes);
-            listener.server = RatpackServer.start(spec -> spec.serverConfig(config)
-                    .handlers(chain -> chain.all(ctx -> listener.handle(ctx, answerer))));
+            listener.server = RatpackServer.start(spec ->
+                    spec.serverConfig(config).handlers(chain -> chain.all(ctx -> listener.handle(ctx, answerer))));
             return listener;
         } catch (Exception e) {
             String detail = "cannot listen on " + address + ": " + e.getMessage();
--- a/systemtest/src/test/java/io/pollenreach/systemtest/SettingsReloadTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/SettingsReloadTest.java
@@ -75,7 +75,8 @@
             agent.hangUp();
             awaitLog(agent, "event=settings-unchanged");
             List<String> changed = new ArrayList<>(entry.settings());
-            changed.replaceAll(l -> l.startsWith("operatorTokenSha256") ? "operatorTokenSha256: " + "f0".repeat(32) : l);
+            changed.replaceAll(
+                    l -> l.startsWith("operatorTokenSha256") ? "operatorTokenSha256: " + "f0".repeat(32) : l);
             changed.replaceAll(l -> l.startsWith("zone:") ? "zone: elsewhere" : l);
             entry.writeSettings(changed);
             entry.hangUp();
