Bound a placement pass by its shapes, not by its tasks

Cause: each waiting task was placed by itself, with sorts that recomputed failures, forecasts and preemptible runs for every comparison. Change: once a unit finds no place, others of its shape go straight to their claims; what a worker's runs hold, and may be preempted for, is computed once a pass; ended jobs are not visited. JobTable takes the jobs out of SchedulerState.

--- a/bench/src/main/java/io/pollenreach/bench/Main.java
+++ b/bench/src/main/java/io/pollenreach/bench/Main.java
@@ -5,6 +5,7 @@
 import io.pollenreach.bench.experiment.ExperimentCommand;
 import io.pollenreach.bench.load.HoldCommand;
 import io.pollenreach.bench.load.SwarmCommand;
+import io.pollenreach.bench.planning.PassesCommand;
 import io.pollenreach.bench.planning.PlanningCommand;
 
 /**
@@ -21,6 +22,7 @@
             RunnerCommand.class,
             ExperimentCommand.class,
             PlanningCommand.class,
+            PassesCommand.class,
             SwarmCommand.class,
             HoldCommand.class,
             Help.class
--- a/core/src/main/java/io/pollenreach/internal/batch/Forecast.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/Forecast.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -24,6 +25,7 @@
 
     private final Map<String, JobProgress> jobs;
     private final long nowMs;
+    private final Map<WorkerAllocations, List<Release>> releasesByWorker = new HashMap<>();
 
     Forecast(Map<String, JobProgress> jobs, long nowMs) {
         this.jobs = jobs;
@@ -32,13 +34,9 @@
 
     /** Returns the expected time, in milliseconds, until a need fits on a worker with the given free capacity. */
     long untilFitsMs(WorkerAllocations worker, Resources free, Resources need) {
-        List<Release> releases = new ArrayList<>();
-        worker.heldByRuns().forEach((run, held) -> releases.add(new Release(remainingMs(run), held)));
-        releases.add(new Release(EXPECTED_STOP_MS, worker.heldByStops()));
-        releases.sort(Comparator.comparingLong(Release::afterMs));
         Resources available = free;
         long afterMs = 0;
-        for (Release r : releases) {
+        for (Release r : releasesByWorker.computeIfAbsent(worker, this::releases)) {
             if (need.fitsIn(available) || r.afterMs() == NEVER) {
                 break;
             }
@@ -48,6 +46,24 @@
         return need.fitsIn(available) ? afterMs : NEVER;
     }
 
+    /** Forgets what was computed of a worker's runs, after one was placed on it. */
+    void invalidate(WorkerAllocations worker) {
+        releasesByWorker.remove(worker);
+    }
+
+    /** Forgets what was computed of all workers' runs, after some were stopped. */
+    void invalidateAll() {
+        releasesByWorker.clear();
+    }
+
+    private List<Release> releases(WorkerAllocations worker) {
+        List<Release> releases = new ArrayList<>();
+        worker.heldByRuns().forEach((run, held) -> releases.add(new Release(remainingMs(run), held)));
+        releases.add(new Release(EXPECTED_STOP_MS, worker.heldByStops()));
+        releases.sort(Comparator.comparingLong(Release::afterMs));
+        return releases;
+    }
+
     private long remainingMs(TaskRun run) {
         JobProgress job = jobs.get(run.task().job());
         if (job == null) {
--- a/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,11 +23,17 @@
     record Assignment(TaskProgress task, WorkerAllocations worker) {}
 
     private final Map<WorkerAllocations, Resources> free = new HashMap<>();
+    private long workerLooks;
 
     FreeCapacity(Collection<WorkerAllocations> workers, Function<WorkerAllocations, Resources> size) {
         workers.forEach(w -> free.put(w, size.apply(w)));
     }
 
+    /** Returns how often a worker was looked at for a place, a measure of the work done. */
+    long workerLooks() {
+        return workerLooks;
+    }
+
     Resources of(WorkerAllocations worker) {
         return free.get(worker);
     }
@@ -61,7 +69,8 @@
             Collection<WorkerAllocations> workers,
             boolean oneRack,
             ToDoubleFunction<WorkerAllocations> cost) {
-        return groups(workers, oneRack).stream()
+        // A single task is always on one rack.
+        return groups(workers, oneRack && tasks.size() > 1).stream()
                 .map(g -> fill(tasks, spec, g, cost))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(a -> slack(a, spec)));
@@ -69,36 +78,72 @@
 
     static Collection<List<WorkerAllocations>> groups(Collection<WorkerAllocations> workers, boolean oneRack) {
         if (!oneRack) {
-            return List.of(new ArrayList<>(workers));
+            return List.of(List.copyOf(workers));
         }
         return workers.stream()
                 .collect(Collectors.groupingBy(w -> w.report().rack()))
                 .values();
     }
 
+    /** A worker that can take tasks of a step, with what decides its turn, computed once. Immutable. */
+    private record Candidate(WorkerAllocations worker, int slots, int failures, double cost, double leftover) {
+        static final Comparator<Candidate> ORDER = Comparator.comparingInt(Candidate::failures)
+                .thenComparingDouble(Candidate::cost)
+                .thenComparingDouble(Candidate::leftover)
+                .thenComparing(c -> c.worker().name());
+    }
+
     private Optional<List<Assignment>> fill(
             List<TaskProgress> tasks,
             StepSpec spec,
             List<WorkerAllocations> group,
             ToDoubleFunction<WorkerAllocations> cost) {
-        List<WorkerAllocations> order = new ArrayList<>(group);
-        order.sort(Comparator.<WorkerAllocations>comparingInt(w -> failureCount(w, tasks))
-                .thenComparingDouble(cost)
-                .thenComparingDouble(w -> leftover(w, spec.occupied()))
-                .thenComparing(WorkerAllocations::name));
+        List<Candidate> candidates = candidates(tasks, spec, group, cost);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        if (tasks.size() == 1) {
+            Candidate best = Collections.min(candidates, Candidate.ORDER);
+            return Optional.of(List.of(new Assignment(tasks.get(0), best.worker())));
+        }
+        candidates.sort(Candidate.ORDER);
         List<Assignment> chosen = new ArrayList<>();
-        for (WorkerAllocations w : order) {
-            int slots = Math.min(slots(w, spec, tasks.get(0).id()), tasks.size() - chosen.size());
+        for (Candidate c : candidates) {
+            int slots = Math.min(c.slots(), tasks.size() - chosen.size());
             for (int i = 0; i < slots; i++) {
-                chosen.add(new Assignment(tasks.get(chosen.size()), w));
+                chosen.add(new Assignment(tasks.get(chosen.size()), c.worker()));
             }
         }
-        return chosen.size() == tasks.size() ? Optional.of(chosen) : Optional.empty();
+        return Optional.of(chosen);
     }
 
-    private int slots(WorkerAllocations w, StepSpec spec, TaskId any) {
-        Resources available = free.get(w);
+    /** Returns the workers with free slots; none if their slots together are too few for the tasks. */
+    private List<Candidate> candidates(
+            List<TaskProgress> tasks,
+            StepSpec spec,
+            List<WorkerAllocations> group,
+            ToDoubleFunction<WorkerAllocations> cost) {
+        workerLooks += group.size();
         Resources need = spec.occupied();
+        Map<WorkerAllocations, Integer> slotsByWorker = new LinkedHashMap<>();
+        long total = 0;
+        for (WorkerAllocations w : group) {
+            int slots = slots(w, need, spec, tasks.get(0).id());
+            if (slots > 0) {
+                slotsByWorker.put(w, slots);
+                total += slots;
+            }
+        }
+        List<Candidate> found = new ArrayList<>();
+        if (total >= tasks.size()) {
+            slotsByWorker.forEach((w, slots) -> found.add(
+                    new Candidate(w, slots, failureCount(w, tasks), cost.applyAsDouble(w), leftover(w, need))));
+        }
+        return found;
+    }
+
+    private int slots(WorkerAllocations w, Resources need, StepSpec spec, TaskId any) {
+        Resources available = free.get(w);
         long n = Integer.MAX_VALUE;
         n = Math.min(n, quotient(available.milliCpu(), need.milliCpu()));
         n = Math.min(n, quotient(available.memoryMb(), need.memoryMb()));
@@ -114,8 +159,12 @@
     }
 
     private static int failureCount(WorkerAllocations w, List<TaskProgress> tasks) {
-        boolean failedHere = tasks.stream().anyMatch(t -> t.failedOn().equals(w.name()));
-        return w.health().failures() + (failedHere ? 1 : 0);
+        for (TaskProgress t : tasks) {
+            if (t.failedOn().equals(w.name())) {
+                return w.health().failures() + 1;
+            }
+        }
+        return w.health().failures();
     }
 
     private double leftover(WorkerAllocations w, Resources need) {
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -151,6 +151,15 @@
         return immediateFailureWorker.equals(worker);
     }
 
+    /** Saves a task's checkpoint; a gang's members all resume from the newest one of any of them. */
+    void saveCheckpoint(TaskProgress task, String checkpoint) {
+        if (spec(task.id()).gang()) {
+            step(task.id()).forEach(m -> m.saveCheckpoint(checkpoint));
+        } else {
+            task.saveCheckpoint(checkpoint);
+        }
+    }
+
     void markStarted() {
         if (phase == JobPhase.QUEUED) {
             phase = JobPhase.RUNNING;
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
@@ -0,0 +1,74 @@
+package io.pollenreach.internal.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * The jobs that a scheduler knows, by id and, while they have not ended, by the order of their acceptance.
+ *
+ * <p>Invariant: every job that has not ended is among {@link #active()}. Not thread-safe: confined to the scheduler's
+ * thread.
+ */
+final class JobTable {
+    private final Map<String, JobProgress> byId = new LinkedHashMap<>();
+    private final Map<Long, JobProgress> activeBySequence = new TreeMap<>();
+
+    void add(JobProgress job) {
+        byId.put(job.job().id(), job);
+        activeBySequence.put(job.sequence(), job);
+    }
+
+    /** Returns a job; null for one that is not known. */
+    JobProgress get(String id) {
+        return byId.get(id);
+    }
+
+    Map<String, JobProgress> byId() {
+        return Collections.unmodifiableMap(byId);
+    }
+
+    /** Returns the jobs that have not ended, oldest first. */
+    Collection<JobProgress> active() {
+        activeBySequence.values().removeIf(j -> j.phase().ended());
+        return activeBySequence.values();
+    }
+
+    /** Finds the task that a run belongs to, if it is the task's current run. */
+    Optional<TaskProgress> findPlaced(TaskRun run) {
+        return Optional.ofNullable(byId.get(run.task().job()))
+                .flatMap(j -> j.find(run.task()))
+                .filter(t -> t.state() == TaskProgress.State.PLACED && t.run() == run.run());
+    }
+
+    /** Returns the number of accepted jobs that have not started, by queue; recurring jobs are not counted. */
+    Map<String, Integer> waitingByQueue() {
+        Map<String, Integer> count = new HashMap<>();
+        for (JobProgress job : active()) {
+            if (job.phase() == JobPhase.QUEUED && job.job().recurrence() == null) {
+                count.merge(job.job().queue(), 1, Integer::sum);
+            }
+        }
+        return count;
+    }
+
+    /** Removes the jobs that ended before a time and fulfil a condition; returns their ids. */
+    List<String> removeEndedBefore(long timeMs, Predicate<String> condition) {
+        List<String> removed = new ArrayList<>();
+        for (JobProgress job : byId.values()) {
+            String id = job.job().id();
+            if (job.phase().ended() && job.endedMs() < timeMs && condition.test(id)) {
+                removed.add(id);
+            }
+        }
+        removed.forEach(byId::remove);
+        return removed;
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,7 +16,11 @@
  *
  * <p>Jobs of priority 0 inside their workspace's guarantee come first and reclaim capacity from less urgent ones;
  * other jobs of priority 0 preempt only if little work is lost. A task that does not fit claims the workers that
- * are expected to have free capacity for it soonest, so that no less urgent task is placed there. Not thread-safe.
+ * are expected to have free capacity for it soonest, so that no less urgent task is placed there.
+ *
+ * <p>Answers the load of hundreds of waiting tasks on a slow machine: capacity only shrinks during a pass, so once a unit
+ * has found no place, others of the same shape go straight to their claims, and what a worker's runs hold is computed
+ * once a pass. Not thread-safe.
  */
 final class PlacementPass {
     /**
@@ -59,12 +64,46 @@
         }
     }
 
+    /**
+     * Everything that decides whether a unit finds a place in this pass, free or by preemption.
+     *
+     * <p>Immutable.
+     *
+     * @param priority the job's priority; units with more of a claim on capacity have other shapes
+     * @param guaranteed whether the unit may preempt whatever is lost by it
+     * @param estimatedMs the estimate that bounds what other units may preempt, in milliseconds
+     * @param anyRack whether racks without the data, or several racks, may be used
+     * @param anyWorker whether workers to avoid may be used
+     * @param step the step, if its tasks limit each other or an advisor decides on it
+     */
+    private record Shape(
+            Requirement requirement,
+            int tasks,
+            Resources need,
+            String dataRack,
+            boolean oneRack,
+            int priority,
+            boolean guaranteed,
+            long estimatedMs,
+            boolean anyRack,
+            boolean anyWorker,
+            Optional<StepId> step) {}
+
+    /** What a worker must be to be suitable for a step. Immutable. */
+    private record Requirement(String pool, String label) {}
+
     private final SchedulerState schedulerState;
     private final long nowMs;
     private final long wallMs;
     private final FreeCapacity freeCapacity;
+    /** The capacity of the workers without their runs, less what was claimed or reclaimed in this pass. */
+    private final FreeCapacity capacityAfterRelease;
+
     private final Forecast forecast;
+    private final Reclaim reclaim;
     private final Set<TaskId> tasksHoldingResources;
+    private final Map<Requirement, List<WorkerAllocations>> suitableWorkers = new HashMap<>();
+    private final Set<Shape> blockedShapes = new HashSet<>();
     private int claims;
 
     PlacementPass(SchedulerState schedulerState, long nowMs, long wallMs) {
@@ -72,7 +111,10 @@
         this.nowMs = nowMs;
         this.wallMs = wallMs;
         freeCapacity = new FreeCapacity(schedulerState.workers(), WorkerAllocations::free);
+        capacityAfterRelease =
+                new FreeCapacity(schedulerState.workers(), w -> w.report().capacity());
         forecast = new Forecast(schedulerState.jobs(), nowMs);
+        reclaim = new Reclaim(schedulerState.jobs(), freeCapacity, nowMs);
         tasksHoldingResources = schedulerState.workers().stream()
                 .flatMap(WorkerAllocations::heldTasks)
                 .collect(Collectors.toSet());
@@ -88,15 +130,15 @@
         }
     }
 
+    /** Returns how often the pass looked at a worker. */
+    long workerLooks() {
+        return freeCapacity.workerLooks() + capacityAfterRelease.workerLooks() + reclaim.workerLooks();
+    }
+
     private List<Unit> units() {
         List<Unit> units = new ArrayList<>();
         Map<String, Integer> urgentNeed = new HashMap<>();
-        List<JobProgress> bySequence = new ArrayList<>(schedulerState.jobs().values());
-        bySequence.sort(Comparator.comparingLong(JobProgress::sequence));
-        for (JobProgress job : bySequence) {
-            if (job.phase().ended()) {
-                continue;
-            }
+        for (JobProgress job : schedulerState.activeJobs()) {
             job.createDueOccurrences(wallMs, nowMs);
             boolean guaranteed = false;
             if (job.job().priority() == 0) {
@@ -128,7 +170,16 @@
     }
 
     private void place(Unit unit) {
+        Optional<Shape> shape = shapeOf(unit);
+        boolean blocked = shape.filter(blockedShapes::contains).isPresent();
+        if (blocked && claims == MAX_CLAIMS) {
+            return;
+        }
         List<WorkerAllocations> eligible = allowedByAdvisor(unit, eligibleWorkers(unit));
+        if (blocked) {
+            claim(unit, eligible);
+            return;
+        }
         Optional<List<FreeCapacity.Assignment>> fit = fitWithLocality(unit, eligible);
         if (fit.isEmpty() && waitedMs(unit) > localityWaitMs(unit)) {
             fit = freeCapacity.fit(unit.tasks(), unit.spec(), eligible, false);
@@ -136,15 +187,44 @@
         if (fit.isPresent()) {
             freeCapacity.allocate(fit.get(), unit.spec().occupied());
             schedulerState.place(unit.job(), fit.get(), nowMs);
+            fit.get().forEach(a -> forecast.invalidate(a.worker()));
             return;
         }
         boolean urgent = unit.guaranteed() || unit.job().job().priority() == 0;
         if (urgent && reclaim(unit, eligible)) {
             return;
         }
+        shape.ifPresent(blockedShapes::add);
         claim(unit, eligible);
     }
 
+    /** Returns the shape of a unit; empty if one of its tasks failed before, since these avoid workers of their own. */
+    private Optional<Shape> shapeOf(Unit unit) {
+        BatchJob job = unit.job().job();
+        StepSpec spec = unit.spec();
+        boolean failedBefore = unit.tasks().stream().anyMatch(t -> t.failures() > 0);
+        if (failedBefore || job.maxAttempts() == 1) {
+            return Optional.empty();
+        }
+        boolean ownStep = spec.maxPerWorker() > 0 || job.advised();
+        return Optional.of(new Shape(
+                requirementOf(unit),
+                unit.tasks().size(),
+                spec.occupied(),
+                spec.dataRack(),
+                requiresOneRack(unit),
+                job.priority(),
+                unit.guaranteed(),
+                spec.estimatedMs(),
+                waitedMs(unit) > localityWaitMs(unit),
+                waitedMs(unit) > AVOID_MS,
+                ownStep ? Optional.of(StepId.of(unit.first())) : Optional.empty()));
+    }
+
+    private static Requirement requirementOf(Unit unit) {
+        return new Requirement(unit.job().job().pool(), unit.spec().requiredLabel());
+    }
+
     private long untilFitsMs(Unit unit, WorkerAllocations w) {
         return forecast.untilFitsMs(w, freeCapacity.of(w), unit.spec().occupied());
     }
@@ -183,16 +263,12 @@
     }
 
     private List<WorkerAllocations> eligibleWorkers(Unit unit) {
-        List<WorkerAllocations> suitable = schedulerState.workers().stream()
-                .filter(w -> w.report().pool().equals(unit.job().job().pool()))
-                .filter(w -> !w.report().lost() && w.report().takesTasks())
-                .filter(w -> nowMs - w.reportedMs() <= MAX_REPORT_AGE_MS)
-                .filter(w -> !w.health().isExcluded(nowMs))
-                .filter(w -> w.report().has(unit.spec().requiredLabel()))
-                .toList();
-        List<WorkerAllocations> preferred =
-                suitable.stream().filter(w -> !shouldAvoid(unit, w)).toList();
-        if (preferred.size() == suitable.size() || waitedMs(unit) > AVOID_MS) {
+        List<WorkerAllocations> suitable = suitableWorkers.computeIfAbsent(requirementOf(unit), this::findSuitable);
+        if (waitedMs(unit) > AVOID_MS) {
+            return suitable;
+        }
+        List<WorkerAllocations> preferred = preferredWorkers(unit, suitable);
+        if (preferred.size() == suitable.size()) {
             return suitable;
         }
         FreeCapacity empty = new FreeCapacity(preferred, w -> w.report().capacity());
@@ -200,6 +276,41 @@
         return enough ? preferred : suitable;
     }
 
+    private List<WorkerAllocations> findSuitable(Requirement requirement) {
+        return schedulerState.workers().stream()
+                .filter(w -> w.report().pool().equals(requirement.pool()))
+                .filter(w -> !w.report().lost() && w.report().takesTasks())
+                .filter(w -> nowMs - w.reportedMs() <= MAX_REPORT_AGE_MS)
+                .filter(w -> !w.health().isExcluded(nowMs))
+                .filter(w -> w.report().has(requirement.label()))
+                .toList();
+    }
+
+    /**
+     * Returns the workers that a unit need not avoid: one is avoided while it fails tasks at their start, if one of the
+     * unit's tasks failed on it last, or, for a task on its last attempt, if it has had recent failures.
+     */
+    private List<WorkerAllocations> preferredWorkers(Unit unit, List<WorkerAllocations> suitable) {
+        boolean lastAttempt = false;
+        Set<String> failedOn = new HashSet<>();
+        for (TaskProgress t : unit.tasks()) {
+            lastAttempt |= t.failures() + 1 >= unit.job().job().maxAttempts();
+            if (t.failures() > 0) {
+                failedOn.add(t.failedOn());
+            }
+        }
+        List<WorkerAllocations> preferred = new ArrayList<>(suitable.size());
+        for (WorkerAllocations w : suitable) {
+            boolean avoid = w.health().isSuspect(nowMs)
+                    || failedOn.contains(w.name())
+                    || lastAttempt && w.health().failures() > 0;
+            if (!avoid) {
+                preferred.add(w);
+            }
+        }
+        return preferred;
+    }
+
     /**
      * Returns the workers that the queue's advisor allows; requests advice on others if the tasks do not fit on
      * those.
@@ -226,24 +337,8 @@
         return allowed;
     }
 
-    /**
-     * Tells whether a unit should avoid a worker: it fails tasks at their start, one of the unit's tasks failed on it
-     * last, or a task on its last attempt would run on a worker with recent failures.
-     */
-    private boolean shouldAvoid(Unit unit, WorkerAllocations w) {
-        if (w.health().isSuspect(nowMs)) {
-            return true;
-        }
-        boolean lastAttempt = unit.tasks().stream()
-                .anyMatch(t -> t.failures() + 1 >= unit.job().job().maxAttempts());
-        return unit.tasks().stream()
-                        .anyMatch(t -> t.failures() > 0 && t.failedOn().equals(w.name()))
-                || lastAttempt && w.health().failures() > 0;
-    }
-
     /** Stops less urgent runs to free capacity for a unit; tells whether it did. */
     private boolean reclaim(Unit unit, List<WorkerAllocations> eligible) {
-        Reclaim reclaim = new Reclaim(schedulerState.jobs(), freeCapacity, nowMs);
         int priority = unit.job().job().priority();
         Optional<Reclaim.Plan> plan = reclaim.find(
                 unit.tasks(), unit.spec(), priority, workersNearData(unit, eligible), requiresOneRack(unit));
@@ -258,7 +353,10 @@
                 schedulerState.preempt(victim, unit.first(), nowMs);
             }
         }
+        forecast.invalidateAll();
+        reclaim.invalidateAll();
         freeCapacity.allocate(plan.get().assignments(), unit.spec().occupied());
+        capacityAfterRelease.allocate(plan.get().assignments(), unit.spec().occupied());
         return true;
     }
 
@@ -281,8 +379,6 @@
             return;
         }
         claims++;
-        FreeCapacity capacityAfterRelease =
-                new FreeCapacity(eligible, w -> freeCapacity.of(w).plus(w.held()));
         capacityAfterRelease
                 .fit(
                         unit.tasks(),
@@ -290,6 +386,9 @@
                         workersNearData(unit, eligible),
                         requiresOneRack(unit),
                         w -> untilFitsMs(unit, w))
-                .ifPresent(a -> freeCapacity.allocate(a, unit.spec().occupied()));
+                .ifPresent(a -> {
+                    freeCapacity.allocate(a, unit.spec().occupied());
+                    capacityAfterRelease.allocate(a, unit.spec().occupied());
+                });
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,11 @@
     private final Map<String, JobProgress> jobs;
     private final FreeCapacity freeCapacity;
     private final long nowMs;
+    private long workerLooks;
+    private final Map<WorkerAllocations, Map<Integer, Preemptible>> preemptibleByPriority = new HashMap<>();
+
+    /** The runs on a worker that jobs of one priority may preempt, and their sums. Immutable. */
+    private record Preemptible(List<TaskProgress> tasks, Resources occupied, double lostCoreMs) {}
 
     Reclaim(Map<String, JobProgress> jobs, FreeCapacity freeCapacity, long nowMs) {
         this.jobs = jobs;
@@ -56,10 +62,11 @@
         FreeCapacity capacityAfterPreemption = new FreeCapacity(group, w -> freeCapacity
                 .of(w)
                 .plus(w.heldByRecentStops(nowMs, MAX_EXPECTED_STOP_MS))
-                .plus(preemptible(w, priority).stream().map(this::occupied).reduce(Resources.NONE, Resources::plus)));
+                .plus(preemptible(w, priority).occupied()));
         Set<TaskProgress> victims = new LinkedHashSet<>();
-        Optional<List<FreeCapacity.Assignment>> fit =
-                capacityAfterPreemption.fit(tasks, spec, group, false, w -> costOfPreemptingAll(w, priority));
+        Optional<List<FreeCapacity.Assignment>> fit = capacityAfterPreemption.fit(
+                tasks, spec, group, false, w -> preemptible(w, priority).lostCoreMs());
+        workerLooks += capacityAfterPreemption.workerLooks();
         if (fit.isEmpty()) {
             return Optional.empty();
         }
@@ -82,7 +89,7 @@
     /** Adds the tasks to preempt on a worker; tells whether that frees enough capacity. */
     private boolean addVictims(WorkerAllocations w, Resources need, int priority, Set<TaskProgress> victims) {
         Resources available = freeCapacity.of(w).plus(w.heldByRecentStops(nowMs, MAX_EXPECTED_STOP_MS));
-        List<TaskProgress> candidates = new ArrayList<>(preemptible(w, priority));
+        List<TaskProgress> candidates = new ArrayList<>(preemptible(w, priority).tasks());
         candidates.sort(Comparator.comparingDouble(this::lostCoreMs));
         List<TaskProgress> selected = new ArrayList<>();
         for (TaskProgress t : candidates) {
@@ -108,19 +115,36 @@
         return need.fitsIn(available);
     }
 
-    private double costOfPreemptingAll(WorkerAllocations w, int priority) {
-        return preemptible(w, priority).stream().mapToDouble(this::lostCoreMs).sum();
+    long workerLooks() {
+        return workerLooks;
+    }
+
+    /** Forgets what was computed of the workers' runs, after some were stopped. */
+    void invalidateAll() {
+        preemptibleByPriority.clear();
     }
 
-    private List<TaskProgress> preemptible(WorkerAllocations w, int priority) {
+    private Preemptible preemptible(WorkerAllocations w, int priority) {
+        return preemptibleByPriority
+                .computeIfAbsent(w, x -> new HashMap<>())
+                .computeIfAbsent(priority, p -> findPreemptible(w, p));
+    }
+
+    private Preemptible findPreemptible(WorkerAllocations w, int priority) {
         List<TaskProgress> found = new ArrayList<>();
+        Resources sum = Resources.NONE;
+        double lost = 0;
         for (TaskRun run : w.runs()) {
             JobProgress job = jobs.get(run.task().job());
             if (job != null && job.job().priority() > priority) {
                 job.find(run.task()).filter(t -> isInterruptible(t, List.of())).ifPresent(found::add);
             }
         }
-        return found;
+        for (TaskProgress t : found) {
+            sum = sum.plus(occupied(t));
+            lost += lostCoreMs(t);
+        }
+        return new Preemptible(found, sum, lost);
     }
 
     /** Tells whether a task may be interrupted in addition to the selected ones, under the limit of its step. */
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -1,14 +1,11 @@
 package io.pollenreach.internal.batch;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -36,13 +33,17 @@
     private static final long IMMEDIATE_FAILURE_MS = 300;
 
     private final DecisionLog log;
-    private final Map<String, JobProgress> jobs = new LinkedHashMap<>();
+    private final JobTable jobs = new JobTable();
     private final Map<String, WorkerAllocations> workers = new TreeMap<>();
     private final Set<String> cancelled = new HashSet<>();
     private final Set<String> changedJobs = new LinkedHashSet<>();
     private final Set<String> changedWorkers = new LinkedHashSet<>();
     private final AdviceCache advice = new AdviceCache();
     private Map<String, Integer> guarantees = Map.of();
+    /** Whether something has changed since the last pass that may let it decide otherwise. */
+    private boolean placementChanged = true;
+
+    private long workerLooks;
 
     /** Creates an empty state that records its decisions in a log. */
     public SchedulerState(DecisionLog log) {
@@ -51,16 +52,20 @@
 
     /** Sets the number of accelerators that each workspace is guaranteed for its most urgent jobs. */
     public void setGuarantees(Map<String, Integer> acceleratorsByWorkspace) {
-        guarantees = Map.copyOf(acceleratorsByWorkspace);
+        if (!guarantees.equals(acceleratorsByWorkspace)) {
+            guarantees = Map.copyOf(acceleratorsByWorkspace);
+            placementChanged = true;
+        }
     }
 
     /** Adds an accepted job; does nothing if it is already known. */
     public void accept(BatchJob job, long sequence, long nowMs) {
-        if (jobs.containsKey(job.id())) {
+        if (jobs.get(job.id()) != null) {
             return;
         }
         add(new JobProgress(job, sequence, nowMs), nowMs);
         changedJobs.add(job.id());
+        placementChanged = true;
     }
 
     /** Adds a job whose progress an earlier scheduler stored. */
@@ -69,7 +74,7 @@
     }
 
     private void add(JobProgress job, long nowMs) {
-        jobs.put(job.job().id(), job);
+        jobs.add(job);
         if (cancelled.contains(job.job().id())) {
             cancel(job.job().id(), nowMs);
         }
@@ -96,7 +101,7 @@
      * worker is gone.
      */
     public void finishRestore(long nowMs) {
-        for (JobProgress job : jobs.values()) {
+        for (JobProgress job : jobs.byId().values()) {
             job.tasks()
                     .filter(t -> t.state() == TaskProgress.State.PLACED && !isOrdered(t))
                     .toList()
@@ -124,6 +129,7 @@
     }
 
     private void end(JobProgress job, JobPhase endPhase, long nowMs) {
+        placementChanged = true;
         job.end(endPhase, nowMs);
         advice.removeJob(job.job().id());
         changedJobs.add(job.job().id());
@@ -152,6 +158,7 @@
             log.logDecision(
                     "worker-joined", "worker", w.name(), "incarnation", report.incarnation(), "pool", report.pool());
         }
+        placementChanged |= w.placementDiffers(report, nowMs);
         applyReport(w, report, version, nowMs);
     }
 
@@ -167,7 +174,7 @@
             markRunsLost(w, "worker-restarted", nowMs);
         }
         report.active().forEach(this::recordCheckpoint);
-        report.active().forEach(a -> findPlaced(a.run()).ifPresent(t -> t.recordProgress(a.percent(), nowMs)));
+        report.active().forEach(a -> jobs.findPlaced(a.run()).ifPresent(t -> t.recordProgress(a.percent(), nowMs)));
         for (RunEnd end : report.ends()) {
             if (end.kind() == EndKind.REFUSED || w.recordEnd(end.number())) {
                 applyEnd(w, end, nowMs);
@@ -191,34 +198,21 @@
             }
         }
         if (w.removeFinishedStops()) {
+            placementChanged = true;
             changedWorkers.add(w.name());
         }
     }
 
     private void recordCheckpoint(RunningTask a) {
         if (!a.checkpoint().isEmpty()) {
-            findPlaced(a.run()).ifPresent(t -> shareCheckpoint(jobs.get(t.id().job()), t, a.checkpoint()));
-        }
-    }
-
-    private Optional<TaskProgress> findPlaced(TaskRun run) {
-        return Optional.ofNullable(jobs.get(run.task().job()))
-                .flatMap(j -> j.find(run.task()))
-                .filter(t -> t.state() == TaskProgress.State.PLACED && t.run() == run.run());
-    }
-
-    // Any member's checkpoint is valid for the whole gang, and all members must resume from the same one.
-    private static void shareCheckpoint(JobProgress job, TaskProgress t, String checkpoint) {
-        if (job.spec(t.id()).gang()) {
-            job.step(t.id()).forEach(m -> m.saveCheckpoint(checkpoint));
-        } else {
-            t.saveCheckpoint(checkpoint);
+            jobs.findPlaced(a.run()).ifPresent(t -> jobs.get(t.id().job()).saveCheckpoint(t, a.checkpoint()));
         }
     }
 
     private void markRunsLost(WorkerAllocations w, String why, long nowMs) {
         List<TaskRun> runs = w.runs();
         w.startIncarnation();
+        placementChanged = true;
         changedWorkers.add(w.name());
         log.logDecision(
                 "worker-runs-lost",
@@ -268,6 +262,7 @@
         TaskRun run = end.run();
         JobProgress job = jobs.get(run.task().job());
         TaskProgress t = job == null ? null : job.find(run.task()).orElse(null);
+        placementChanged = true;
         boolean current = t != null && (t.isPlacedAs(w.name(), run.run()) || t.awaitsEndOf(run.run()));
         if (end.kind() != EndKind.REFUSED || current) {
             log.logDecision(
@@ -293,7 +288,7 @@
         if (end.kind() == EndKind.REFUSED) {
             advice.removeTicket(StepId.of(t.id()), w.report().instance());
         }
-        shareCheckpoint(job, t, end.checkpoint());
+        job.saveCheckpoint(t, end.checkpoint());
         switch (end.kind()) {
             case DONE -> finish(w, job, t, nowMs);
             case FAILED -> fail(w, job, t, nowMs);
@@ -380,9 +375,27 @@
         return w == null ? 0 : w.reportVersion();
     }
 
+    /** Tells whether a pass may decide otherwise than the last one did, even if no time had passed since. */
+    public boolean placementChanged() {
+        return placementChanged;
+    }
+
+    /** Requests a pass, after advice on workers has arrived. */
+    public void requestPlacement() {
+        placementChanged = true;
+    }
+
     /** Runs one placement pass over all waiting tasks. */
     public void plan(long nowMs, long wallMs) {
-        new PlacementPass(this, nowMs, wallMs).run();
+        placementChanged = false;
+        PlacementPass pass = new PlacementPass(this, nowMs, wallMs);
+        pass.run();
+        workerLooks += pass.workerLooks();
+    }
+
+    /** Returns how often all passes so far have looked at a worker, a measure of their work. */
+    public long workerLooks() {
+        return workerLooks;
     }
 
     /** Returns the cached advice on advised queues and the pending queries to the advisor. */
@@ -391,7 +404,12 @@
     }
 
     Map<String, JobProgress> jobs() {
-        return jobs;
+        return jobs.byId();
+    }
+
+    /** Returns the jobs that have not ended, oldest first. */
+    Collection<JobProgress> activeJobs() {
+        return jobs.active();
     }
 
     Collection<WorkerAllocations> workers() {
@@ -451,11 +469,7 @@
 
     /** Returns the number of accepted jobs that have not started, by queue; recurring jobs are not counted. */
     public Map<String, Integer> waitingByQueue() {
-        Map<String, Integer> count = new HashMap<>();
-        jobs.values().stream()
-                .filter(j -> j.phase() == JobPhase.QUEUED && j.job().recurrence() == null)
-                .forEach(j -> count.merge(j.job().queue(), 1, Integer::sum));
-        return count;
+        return jobs.waitingByQueue();
     }
 
     /** Returns the changes that must be stored before agents may act on them. */
@@ -476,14 +490,7 @@
 
     /** Removes the jobs that ended longer ago than a time, in milliseconds, and returns their ids. */
     public List<String> expire(long keepMs, long nowMs) {
-        List<String> expired = new ArrayList<>();
-        for (JobProgress j : jobs.values()) {
-            boolean stored = !changedJobs.contains(j.job().id());
-            if (j.phase().ended() && nowMs - j.endedMs() > keepMs && stored) {
-                expired.add(j.job().id());
-            }
-        }
-        expired.forEach(jobs::remove);
+        List<String> expired = jobs.removeEndedBefore(nowMs - keepMs, id -> !changedJobs.contains(id));
         expired.forEach(cancelled::remove);
         return expired;
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
@@ -78,6 +78,16 @@
         return ordersIncarnation.equals(other.incarnation());
     }
 
+    /** Tells whether a report shows a worker on which other placements are possible than before. */
+    boolean placementDiffers(WorkerReport next, long nowMs) {
+        boolean silent = nowMs - reportedMs > PlacementPass.MAX_REPORT_AGE_MS;
+        return silent
+                || next.lost() != report.lost()
+                || next.takesTasks() != report.takesTasks()
+                || !next.capacity().equals(report.capacity())
+                || !next.incarnation().equals(report.incarnation());
+    }
+
     void update(WorkerReport next, long version, long nowMs) {
         report = next;
         reportVersion = version;
