Claim the rack that is free soonest for a gang that waits

Cause: a waiting gang claimed the rack with the least slack, whichever came first, so that wide jobs of lower priority took every accelerator as it became free, elsewhere. Change: the rack whose last needed worker is free soonest is claimed.

--- a/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
@@ -60,8 +60,8 @@
      * @param workers the workers that may be used
      * @param oneRack whether all tasks must be placed on one rack
      * @param cost the cost of using a worker; workers of lower cost are filled first
-     * @return one assignment for each task, in the group of workers that keeps the least free capacity; empty
-     *     if not all tasks fit
+     * @return one assignment for each task, in the group of workers whose dearest one costs least and, at equal cost,
+     *     that keeps the least free capacity; empty if not all tasks fit
      */
     Optional<List<Assignment>> fit(
             List<TaskProgress> tasks,
@@ -73,7 +73,8 @@
         return groups(workers, oneRack && tasks.size() > 1).stream()
                 .map(g -> fill(tasks, spec, g, cost))
                 .flatMap(Optional::stream)
-                .min(Comparator.comparingDouble(a -> slack(a, spec)));
+                .min(Comparator.<List<Assignment>>comparingDouble(a -> highestCost(a, cost))
+                        .thenComparingDouble(a -> slack(a, spec)));
     }
 
     static Collection<List<WorkerAllocations>> groups(Collection<WorkerAllocations> workers, boolean oneRack) {
@@ -171,6 +172,15 @@
         return fraction(free.get(w).minus(need), w.report().capacity());
     }
 
+    private static double highestCost(List<Assignment> assignments, ToDoubleFunction<WorkerAllocations> cost) {
+        return assignments.stream()
+                .map(Assignment::worker)
+                .distinct()
+                .mapToDouble(cost)
+                .max()
+                .orElse(0);
+    }
+
     private double slack(List<Assignment> assignments, StepSpec spec) {
         return assignments.stream()
                 .map(Assignment::worker)
--- a/core/src/test/java/io/pollenreach/internal/batch/CrowdedPoolTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/CrowdedPoolTest.java
@@ -76,4 +76,15 @@
                 .sum();
         assertThat(stopping).isEqualTo(urgent.size() * 4L);
     }
+
+    @Test
+    void givesFreedCapacityToGangsBeforeLessUrgentTasks() {
+        long number = 0;
+        for (WorkerOrders.OrderedRun run : cluster.orders("w0").runs()) {
+            cluster.end("w0", ++number, run.run().task().toString(), run.run().run(), EndKind.DONE);
+        }
+
+        assertThat(cluster.orders("w0").runs())
+                .anyMatch(r -> r.run().task().job().startsWith("gang-"));
+    }
 }
