--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -132,7 +132,7 @@
         long newVersion = store.commit(tx).join();
         outcomeUnknown = false;
         EVENTS.info("leader-elected", "entry", self, "term", newVersion, "before", holder);
-        Term t = new Term(context, newVersion, this::recordDecision);
+        Term t = new Term(context, newVersion, this::recordDecision, metrics);
         term = t;
         try {
             t.load();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -6,10 +6,15 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
 import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
@@ -40,6 +45,9 @@
 
     private static final long STORE_RETRY_DELAY_MS = 100;
 
+    /** How long a load repeats reads that fail, in milliseconds; another entry takes over sooner if it hears nothing. */
+    private static final long LOAD_RETRY_MS = 4_000;
+
     /** How long ended jobs can still be queried, in milliseconds; the platform requires two minutes. */
     private static final long ENDED_JOB_RETENTION_MS = 180_000;
 
@@ -54,12 +62,15 @@
     private final Advisor advisor;
     private final Clock clock;
     private final SchedulerState state;
+    private final Timer passTimer;
+    private final Counter looks;
     private final LostWorkerDetector lostWorkerDetector;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final List<TableWatch> watches = new ArrayList<>();
     private TableWatch workersWatch;
     private long heartbeatNumber;
     private long lastHeartbeatMs;
+    private long lastPassMs;
     private long lastExpiryMs;
     /**
      * Whether the newest decisions could not be stored; no further decisions are made until they are, because agents
@@ -67,7 +78,11 @@
      */
     private boolean hasUnstoredChanges;
 
-    Term(SchedulerContext context, long version, DecisionLog log) {
+    Term(SchedulerContext context, long version, DecisionLog log, MeterRegistry metrics) {
+        passTimer = Timer.builder("pollenreach.scheduler.pass")
+                .description("Time of a placement pass")
+                .register(metrics);
+        looks = metrics.counter("pollenreach.scheduler.worker.looks");
         this.version = version;
         self = context.self();
         store = context.store();
@@ -81,16 +96,19 @@
     }
 
     /** Loads the whole state and starts to follow its changes. */
-    void load() {
+    void load() throws InterruptedException {
         long startMs = clock.nowMs();
-        CompletableFuture<Rows> cancels = store.list(Tables.CANCELS);
-        CompletableFuture<Rows> jobs = store.list(Tables.JOBS);
-        CompletableFuture<Rows> progress = store.list(Tables.PROGRESS);
-        CompletableFuture<Rows> workers = store.list(Tables.WORKERS);
+        CompletableFuture<Rows> cancels = read(Tables.CANCELS, startMs);
+        CompletableFuture<Rows> jobs = read(Tables.JOBS, startMs);
+        CompletableFuture<Rows> progress = read(Tables.PROGRESS, startMs);
+        CompletableFuture<Rows> workers = read(Tables.WORKERS, startMs);
         List<CompletableFuture<Rows>> orders = new ArrayList<>();
         for (int i = 0; i < Tables.ORDER_TABLES; i++) {
-            orders.add(store.list(Tables.orders(i)));
+            orders.add(read(Tables.orders(i), startMs));
         }
+        List<CompletableFuture<Rows>> all = new ArrayList<>(orders);
+        all.addAll(List.of(cancels, jobs, progress, workers));
+        awaitWithHeartbeats(CompletableFuture.allOf(all.toArray(CompletableFuture[]::new)));
         long nowMs = clock.nowMs();
         cancels.join().rows().forEach(r -> state.cancel(r.key(), nowMs));
         loadJobs(jobs.join(), progress.join(), nowMs);
@@ -113,6 +131,47 @@
                 clock.nowMs() - startMs);
     }
 
+    // A read that fails on a slow machine or store is repeated, since a new election would begin all reads anew.
+    private CompletableFuture<Rows> read(String table, long startMs) {
+        return store.list(table).exceptionallyCompose(t -> {
+            if (clock.nowMs() - startMs > LOAD_RETRY_MS) {
+                return CompletableFuture.failedFuture(t);
+            }
+            return CompletableFuture.runAsync(
+                            () -> {}, CompletableFuture.delayedExecutor(STORE_RETRY_DELAY_MS, TimeUnit.MILLISECONDS))
+                    .thenCompose(v -> read(table, startMs));
+        });
+    }
+
+    /** Waits for the reads of a load, and meanwhile shows the other entries that this one leads. */
+    private void awaitWithHeartbeats(CompletableFuture<Void> reads) throws InterruptedException {
+        while (!reads.isDone()) {
+            try {
+                reads.get(Scheduler.HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            } catch (TimeoutException e) {
+                sendHeartbeat();
+            } catch (ExecutionException e) {
+                throw PollenreachException.of(e.getCause());
+            }
+        }
+        sendHeartbeat();
+    }
+
+    /** Sends a heartbeat without waiting for the store; its outcome shows in the next write that depends on the term. */
+    private void sendHeartbeat() {
+        Transaction tx = newTermTransaction().write(Tables.LEADER, Tables.BEAT, RowCodec.toValue(nextHeartbeat()));
+        store.commit(tx).exceptionally(t -> {
+            PollenreachException e = PollenreachException.of(t);
+            EVENTS.info(
+                    "heartbeat-unconfirmed", "term", version, "code", e.code().number(), "error", e.getMessage());
+            return 0L;
+        });
+    }
+
+    private LeaderRows.Heartbeat nextHeartbeat() {
+        return new LeaderRows.Heartbeat(self, ++heartbeatNumber, state.waitingByQueue());
+    }
+
     private void loadJobs(Rows jobs, Rows progress, long nowMs) {
         Map<String, ProgressRow> progressById = new HashMap<>();
         progress.rows()
@@ -189,14 +248,23 @@
         long nowMs = clock.nowMs();
         declareLostWorkers(nowMs);
         state.setGuarantees(guarantees.get());
-        if (!hasUnstoredChanges) {
-            state.plan(nowMs, clock.wallMs());
+        // Most reports bring no news; time alone matters to tasks that wait for a better worker or for their due time.
+        boolean passDue = state.placementChanged() || nowMs - lastPassMs >= MAX_PASS_INTERVAL_MS;
+        if (passDue && !hasUnstoredChanges) {
+            lastPassMs = nowMs;
+            runPass(nowMs);
             state.advice().pollQueries().forEach(this::requestAdvice);
         }
         storeChanges(nowMs);
         expire(nowMs);
     }
 
+    private void runPass(long nowMs) {
+        long looksBefore = state.workerLooks();
+        passTimer.record(() -> state.plan(nowMs, clock.wallMs()));
+        looks.increment(state.workerLooks() - looksBefore);
+    }
+
     private void requestAdvice(AdviceCache.Query query) {
         long requestedMs = clock.nowMs();
         advisor.advise(query.step(), query.workers())
@@ -206,6 +274,7 @@
     private void handleAdvice(AdviceCache.Query query, Advisor.Advice advice, Throwable t, long requestedMs) {
         long nowMs = clock.nowMs();
         if (t == null) {
+            state.requestPlacement();
             state.advice().recordAdvice(query, advice.ticketByWorker(), advice.validMs(), requestedMs);
             EVENTS.info(
                     "advice-taken",
@@ -305,8 +374,7 @@
     private List<Transaction> transactions(SchedulerState.Changes changes) {
         List<Transaction> all = new ArrayList<>();
         Transaction tx = newTermTransaction();
-        LeaderRows.Heartbeat heartbeat = new LeaderRows.Heartbeat(self, ++heartbeatNumber, state.waitingByQueue());
-        tx.write(Tables.LEADER, Tables.BEAT, RowCodec.toValue(heartbeat));
+        tx.write(Tables.LEADER, Tables.BEAT, RowCodec.toValue(nextHeartbeat()));
         for (Map.Entry<String, ProgressRow> j : changes.jobs().entrySet()) {
             tx = nextIfFull(tx, all);
             tx.write(Tables.PROGRESS, j.getKey(), RowCodec.toValue(j.getValue()));
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.pollenreach.ManualClock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
@@ -26,6 +27,7 @@
 
 class TermTest {
     private static final long LEASE_MS = 6_000;
+    private static final long POLL_MS = 10;
 
     private final MemoryStore store = new MemoryStore();
     private final ManualClock clock = new ManualClock();
@@ -38,12 +40,12 @@
         store.put(Tables.LEADER, Tables.TERM, RowCodec.toValue(new LeaderRows.Term("e1")));
     }
 
-    private void load() {
+    private void load() throws InterruptedException {
         long version =
                 store.get(Tables.LEADER, Tables.TERM).join().orElseThrow().version();
         SchedulerContext context = new SchedulerContext(
                 "e1", store, leader, () -> Map.of("lab", 8), Advisor.none(), registry, clock, LEASE_MS);
-        term = new Term(context, version, (event, pairs) -> {});
+        term = new Term(context, version, (event, pairs) -> {}, new SimpleMeterRegistry());
         term.load();
     }
 
@@ -100,7 +102,7 @@
     }
 
     @Test
-    void writesNothingOnceAnotherEntryWasElected() {
+    void writesNothingOnceAnotherEntryWasElected() throws Exception {
         putWorker("w1");
         putJob("a", 1, "team", 2, 1);
         load();
@@ -171,4 +173,44 @@
     void ignoresARegistryThatListsNoKnownWorker() throws Exception {
         assertThat(countWorkersWithSecondRun(Set.of())).isZero();
     }
+
+    private boolean heartbeatStored() {
+        return store.get(Tables.LEADER, Tables.BEAT).join().isPresent();
+    }
+
+    // Guards against a hand-over in a circle: reading the whole state took a slow machine longer than the others wait
+    // for a heartbeat, so each new leader was replaced before its first decision (trouble-1 of the grown badge
+    // cluster).
+    @Test
+    void showsThatItLeadsWhileItReadsTheState() throws Exception {
+        CompletableFuture<Void> release = new CompletableFuture<>();
+        store.holdLists(release);
+        CompletableFuture<Void> loading = CompletableFuture.runAsync(() -> {
+            try {
+                load();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        while (!heartbeatStored()) {
+            assertThat(loading).isNotDone();
+            Thread.sleep(POLL_MS);
+        }
+
+        release.complete(null);
+        loading.join();
+    }
+
+    // Guards against a new election, and all reads anew, because one read of many took too long.
+    @Test
+    void repeatsReadsThatFailWhileItLoads() throws Exception {
+        putWorker("w1");
+        putJob("a", 1, "team", 2, 1);
+        store.failLists(3);
+        load();
+
+        term.step();
+
+        assertThat(storedOrders("w1").get(0).runs()).hasSize(2);
+    }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
@@ -16,6 +16,8 @@
     private long version;
     private ResultCode failure;
     private boolean silent;
+    private int failingLists;
+    private CompletableFuture<Void> listsHeld = CompletableFuture.completedFuture(null);
     private final Set<String> unwatched = new HashSet<>();
 
     /** Fails every commit with a code; null ends that. */
@@ -28,6 +30,16 @@
         silent = on;
     }
 
+    /** Fails so many reads of whole tables. */
+    public synchronized void failLists(int count) {
+        failingLists = count;
+    }
+
+    /** Holds reads of whole tables back until a future is done. */
+    public synchronized void holdLists(CompletableFuture<Void> until) {
+        listsHeld = until;
+    }
+
     /** Writes a row without conditions. */
     public synchronized void put(String table, String key, byte[] value) {
         rows.put(table + '/' + key, new StoredRow(key, ++version, value));
@@ -43,9 +55,13 @@
 
     @Override
     public synchronized CompletableFuture<Rows> list(String table) {
+        if (failingLists > 0) {
+            failingLists--;
+            return CompletableFuture.failedFuture(new PollenreachException(ResultCode.PLATFORM_UNAVAILABLE, "as told"));
+        }
         List<StoredRow> found =
                 List.copyOf(rows.subMap(table + '/', table + '0').values());
-        return CompletableFuture.completedFuture(new Rows(version, found));
+        return listsHeld.thenApply(v -> new Rows(version, found));
     }
 
     /** Answers the first wait for changes of the leader and of the workers with none. */
