--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -32,6 +32,9 @@
     /** How long the worker waits for an end before it answers a poll, in milliseconds; half a report's period. */
     private static final long POLL_WAIT_MS = 350;
 
+    /** The same for a worker that runs nothing, in milliseconds; its polls only show that it answers. */
+    private static final long IDLE_POLL_WAIT_MS = 1_000;
+
     /** The same while a report is overdue, in milliseconds, so that the lease is extended as soon as it may be. */
     private static final long SHORT_POLL_WAIT_MS = 80;
 
@@ -243,13 +246,19 @@
         }
         inc.polling = true;
         long sentMs = clock.nowMs();
-        long usualMs = reporter.isOverdue(inc) ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
-        long waitMs = inc.settled ? usualMs : 0;
+        long waitMs = inc.settled ? pollWaitMs(inc) : 0;
         OptionalLong until = inc.leaseUntilMs > 0 ? OptionalLong.of(inc.leaseUntilMs) : OptionalLong.empty();
         runner.poll(inc.authority(), inc.endsStored, until, waitMs)
                 .whenCompleteAsync((v, t) -> guarded(() -> polled(inc, v, t, sentMs)), thread);
     }
 
+    private long pollWaitMs(Incarnation inc) {
+        if (reporter.isOverdue(inc)) {
+            return SHORT_POLL_WAIT_MS;
+        }
+        return inc.runs.idle() ? IDLE_POLL_WAIT_MS : POLL_WAIT_MS;
+    }
+
     private void polled(Incarnation inc, TaskRunner.WorkerStatus view, Throwable t, long sentMs) {
         inc.polling = false;
         if (inc != incarnation) {
