Leave out stored rows that lack what they need

Cause: a row of table workers without an agent was read leniently, made the leader fail with a NullPointerException, and every later leader read it again: nothing was scheduled any more. Change: rows without their required fields are unreadable, a job whose progress names unknown tasks is left out, both with a numbered log line.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedStore.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedStore.java
@@ -93,8 +93,13 @@
 
     /** Writes a row as the operator does. */
     public synchronized void put(String table, String key, byte[] value) {
+        put(table, "", key, value);
+    }
+
+    /** Writes a row of a partition without conditions, as another writer might. */
+    public synchronized void put(String table, String partition, String key, byte[] value) {
         version++;
-        apply(new Row(table, "", key, Base64.getEncoder().encodeToString(value), version));
+        apply(new Row(table, partition, key, Base64.getEncoder().encodeToString(value), version));
         wake();
     }
 
--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -39,6 +39,10 @@
 
     /** Creates a job; throws a {@link PollenreachException} if its steps are invalid. */
     public BatchJob {
+        RequiredField.of(id, "id");
+        RequiredField.of(queue, "queue");
+        RequiredField.of(workspace, "workspace");
+        RequiredField.of(pool, "pool");
         if (steps == null || steps.isEmpty()) {
             throw new PollenreachException(ResultCode.MISSING_FIELD, "steps", "a job needs at least one step");
         }
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -7,6 +7,9 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+
 /**
  * A job and the progress of its tasks.
  *
@@ -42,6 +45,7 @@
         progress.phase = row.phase();
         progress.endedMs = nowMs;
         for (ProgressRow.TaskRow t : row.tasks()) {
+            checkRange(job, t);
             List<TaskProgress> step =
                     progress.createOccurrence(t.occurrence(), nowMs).get(t.step());
             TaskId id = new TaskId(job.id(), t.occurrence(), t.step(), t.index());
@@ -50,6 +54,20 @@
         return progress;
     }
 
+    private static void checkRange(BatchJob job, ProgressRow.TaskRow t) {
+        boolean known = t.occurrence() >= 0
+                && t.occurrence() < job.occurrences()
+                && t.step() >= 0
+                && t.step() < job.steps().size()
+                && t.index() >= 0
+                && t.index() < job.steps().get(t.step()).taskCount();
+        if (!known) {
+            String task = t.occurrence() + "." + t.step() + "." + t.index();
+            throw new PollenreachException(
+                    ResultCode.OUT_OF_RANGE, "tasks", "job " + job.id() + " has no task " + task);
+        }
+    }
+
     /** Returns the row to store, from which {@link #fromRow} restores this progress. */
     public ProgressRow toRow() {
         return new ProgressRow(
--- a/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
@@ -14,6 +14,7 @@
  */
 public record ProgressRow(JobPhase phase, List<TaskRow> tasks) {
     public ProgressRow {
+        RequiredField.of(phase, "phase");
         tasks = tasks == null ? List.of() : List.copyOf(tasks);
     }
 
--- a/core/src/main/java/io/pollenreach/internal/batch/RunEnd.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunEnd.java
@@ -11,4 +11,10 @@
  * @param kind how the run ended
  * @param checkpoint the saved work; empty for none
  */
-public record RunEnd(long number, TaskRun run, EndKind kind, String checkpoint) {}
+public record RunEnd(long number, TaskRun run, EndKind kind, String checkpoint) {
+    public RunEnd {
+        RequiredField.of(run, "run");
+        RequiredField.of(kind, "kind");
+        checkpoint = checkpoint == null ? "" : checkpoint;
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/batch/RunningTask.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunningTask.java
@@ -12,4 +12,9 @@
 public record RunningTask(TaskRun run, String checkpoint, int percent) {
     /** The percentage of a run whose start is not confirmed. */
     public static final int UNCONFIRMED = -1;
+
+    public RunningTask {
+        RequiredField.of(run, "run");
+        checkpoint = checkpoint == null ? "" : checkpoint;
+    }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/TaskRun.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskRun.java
@@ -6,6 +6,10 @@
  * <p>Immutable.
  */
 public record TaskRun(TaskId task, int run) {
+    public TaskRun {
+        RequiredField.of(task, "task");
+    }
+
     @Override
     public String toString() {
         return task + "#" + run;
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerOrders.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerOrders.java
@@ -18,6 +18,7 @@
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record WorkerOrders(String incarnation, List<OrderedRun> runs, List<TaskRun> stops, long endsTaken) {
     public WorkerOrders {
+        incarnation = incarnation == null ? "" : incarnation;
         runs = runs == null ? List.of() : List.copyOf(runs);
         stops = stops == null ? List.of() : List.copyOf(stops);
     }
@@ -43,6 +44,7 @@
     public record OrderedRun(
             TaskRun run, String payload, String checkpoint, String ticket, int targetLatencyMs, boolean filler) {
         public OrderedRun {
+            RequiredField.of(run, "run");
             payload = payload == null ? "" : payload;
             checkpoint = checkpoint == null ? "" : checkpoint;
             ticket = ticket == null ? "" : ticket;
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -46,8 +46,10 @@
         List<RunEnd> ends,
         List<RunEnd> formerEnds,
         boolean lost) {
-    /** Creates a report; lists that are missing in older rows are empty. */
+    /** Creates a report; lists that are missing in older rows are empty, but a report needs its agent. */
     public WorkerReport {
+        RequiredField.of(agent, "agent");
+        RequiredField.of(incarnation, "incarnation");
         labels = labels == null ? List.of() : List.copyOf(labels);
         active = active == null ? List.of() : List.copyOf(active);
         ends = ends == null ? List.of() : List.copyOf(ends);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -182,12 +182,30 @@
                 if (p == null) {
                     state.accept(job, row.version(), nowMs);
                 } else {
-                    state.restore(job, row.version(), p, nowMs);
+                    guarded(row, () -> state.restore(job, row.version(), p, nowMs));
                 }
             });
         }
     }
 
+    /** Handles a row; one that makes no sense is logged and left out, since every later leader would read it again. */
+    private static void guarded(StoredRow row, Runnable handling) {
+        try {
+            handling.run();
+        } catch (PollenreachException e) {
+            EVENTS.warn(
+                    "row-rejected",
+                    "key",
+                    row.key(),
+                    "version",
+                    row.version(),
+                    "code",
+                    e.code().number(),
+                    "error",
+                    e.getMessage());
+        }
+    }
+
     private void loadWorker(StoredRow row, Map<String, StoredRow> ordersByAgent) {
         RowCodec.fromRow(row, WorkerReport.class).ifPresent(report -> {
             StoredRow orders = ordersByAgent.get(report.agent());
