Choose the runs to preempt slot by slot

Change: VictimSelection takes for each task the worker where it costs the least work in addition; a gang that is stopped counts once and frees all its members' capacity.

--- a/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
@@ -4,12 +4,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Stream;
 
 /**
  * Selects the runs to preempt for more urgent tasks with the least lost work.
@@ -30,11 +27,8 @@
     private final Map<String, JobProgress> jobs;
     private final FreeCapacity freeCapacity;
     private final long nowMs;
+    private final Map<WorkerAllocations, Map<Integer, List<TaskProgress>>> preemptibleByPriority = new HashMap<>();
     private long workerLooks;
-    private final Map<WorkerAllocations, Map<Integer, Preemptible>> preemptibleByPriority = new HashMap<>();
-
-    /** The runs on a worker that jobs of one priority may preempt, and their sums. Immutable. */
-    private record Preemptible(List<TaskProgress> tasks, Resources occupied, double lostCoreMs) {}
 
     Reclaim(Map<String, JobProgress> jobs, FreeCapacity freeCapacity, long nowMs) {
         this.jobs = jobs;
@@ -59,60 +53,18 @@
 
     private Optional<Plan> planForGroup(
             List<TaskProgress> tasks, StepSpec spec, int priority, List<WorkerAllocations> group) {
-        FreeCapacity capacityAfterPreemption = new FreeCapacity(group, w -> freeCapacity
-                .of(w)
-                .plus(w.heldByRecentStops(nowMs, MAX_EXPECTED_STOP_MS))
-                .plus(preemptible(w, priority).occupied()));
-        Set<TaskProgress> victims = new LinkedHashSet<>();
-        Optional<List<FreeCapacity.Assignment>> fit = capacityAfterPreemption.fit(
-                tasks, spec, group, false, w -> preemptible(w, priority).lostCoreMs());
-        workerLooks += capacityAfterPreemption.workerLooks();
-        if (fit.isEmpty()) {
-            return Optional.empty();
-        }
-        List<FreeCapacity.Assignment> chosen = fit.get();
-        for (WorkerAllocations w :
-                chosen.stream().map(FreeCapacity.Assignment::worker).distinct().toList()) {
-            long count = chosen.stream().filter(a -> a.worker() == w).count();
-            Resources need = Resources.NONE;
-            for (int i = 0; i < count; i++) {
-                need = need.plus(spec.occupied());
-            }
-            if (!addVictims(w, need, priority, victims)) {
+        VictimSelection selection =
+                new VictimSelection(this, spec, priority, group, tasks.get(0).id());
+        List<FreeCapacity.Assignment> chosen = new ArrayList<>();
+        for (TaskProgress task : tasks) {
+            workerLooks += group.size();
+            Optional<WorkerAllocations> worker = selection.takeCheapestSlot();
+            if (worker.isEmpty()) {
                 return Optional.empty();
             }
+            chosen.add(new FreeCapacity.Assignment(task, worker.get()));
         }
-        double lost = victims.stream().mapToDouble(this::lostCoreMs).sum();
-        return Optional.of(new Plan(chosen, List.copyOf(victims), lost));
-    }
-
-    /** Adds the tasks to preempt on a worker; tells whether that frees enough capacity. */
-    private boolean addVictims(WorkerAllocations w, Resources need, int priority, Set<TaskProgress> victims) {
-        Resources available = freeCapacity.of(w).plus(w.heldByRecentStops(nowMs, MAX_EXPECTED_STOP_MS));
-        List<TaskProgress> candidates = new ArrayList<>(preemptible(w, priority).tasks());
-        candidates.sort(Comparator.comparingDouble(this::lostCoreMs));
-        List<TaskProgress> selected = new ArrayList<>();
-        for (TaskProgress t : candidates) {
-            if (need.fitsIn(available)) {
-                break;
-            }
-            if (!isInterruptible(
-                    t, Stream.concat(victims.stream(), selected.stream()).toList())) {
-                continue;
-            }
-            selected.add(t);
-            available = available.plus(occupied(t));
-        }
-        // Tasks selected later may free enough that earlier, smaller ones need not be preempted.
-        for (TaskProgress t : List.copyOf(selected)) {
-            Resources without = available.minus(occupied(t));
-            if (need.fitsIn(without)) {
-                selected.remove(t);
-                available = without;
-            }
-        }
-        victims.addAll(selected);
-        return need.fitsIn(available);
+        return Optional.of(new Plan(chosen, selection.victims(), selection.lostCoreMs()));
     }
 
     long workerLooks() {
@@ -124,49 +76,53 @@
         preemptibleByPriority.clear();
     }
 
-    private Preemptible preemptible(WorkerAllocations w, int priority) {
+    /** Returns the capacity of a worker that is free, or will be once recent stops are carried out. */
+    Resources available(WorkerAllocations w) {
+        return freeCapacity.of(w).plus(w.heldByRecentStops(nowMs, MAX_EXPECTED_STOP_MS));
+    }
+
+    /** Returns the tasks on a worker that a job of the given priority may preempt, those with the least work first. */
+    List<TaskProgress> preemptible(WorkerAllocations w, int priority) {
         return preemptibleByPriority
                 .computeIfAbsent(w, x -> new HashMap<>())
                 .computeIfAbsent(priority, p -> findPreemptible(w, p));
     }
 
-    private Preemptible findPreemptible(WorkerAllocations w, int priority) {
+    private List<TaskProgress> findPreemptible(WorkerAllocations w, int priority) {
         List<TaskProgress> found = new ArrayList<>();
-        Resources sum = Resources.NONE;
-        double lost = 0;
         for (TaskRun run : w.runs()) {
             JobProgress job = jobs.get(run.task().job());
             if (job != null && job.job().priority() > priority) {
-                job.find(run.task()).filter(t -> isInterruptible(t, List.of())).ifPresent(found::add);
+                job.find(run.task()).ifPresent(found::add);
             }
         }
-        for (TaskProgress t : found) {
-            sum = sum.plus(occupied(t));
-            lost += lostCoreMs(t);
-        }
-        return new Preemptible(found, sum, lost);
+        found.sort(Comparator.comparingDouble(this::lostCoreMs));
+        return found;
     }
 
     /** Tells whether a task may be interrupted in addition to the selected ones, under the limit of its step. */
-    private boolean isInterruptible(TaskProgress t, Collection<TaskProgress> selected) {
-        JobProgress job = jobs.get(t.id().job());
-        int limit = job.spec(t.id()).maxUnavailable();
+    boolean isInterruptible(TaskProgress t, Collection<TaskProgress> selected) {
+        int limit = spec(t).maxUnavailable();
         if (limit == 0) {
             return true;
         }
-        long unavailable = job.step(t.id()).stream()
+        long unavailable = step(t).stream()
                 .filter(m -> m != t && (!m.isFullyRunning() || selected.contains(m)))
                 .count();
         return unavailable < limit;
     }
 
-    private Resources occupied(TaskProgress t) {
-        return jobs.get(t.id().job()).spec(t.id()).occupied();
+    StepSpec spec(TaskProgress t) {
+        return jobs.get(t.id().job()).spec(t.id());
+    }
+
+    List<TaskProgress> step(TaskProgress t) {
+        return jobs.get(t.id().job()).step(t.id());
     }
 
-    private double lostCoreMs(TaskProgress t) {
-        JobProgress job = jobs.get(t.id().job());
-        StepSpec spec = job.spec(t.id());
+    /** Returns the work that is lost if a task is preempted, with its gang, in core milliseconds. */
+    double lostCoreMs(TaskProgress t) {
+        StepSpec spec = spec(t);
         double members = spec.gang() ? spec.taskCount() : 1;
         double unsavedMs = spec.checkpointing() ? 0 : nowMs - t.placedMs();
         // A restart has a cost even if all work is saved.
--- a/core/src/test/java/io/pollenreach/internal/batch/CrowdedPoolTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/CrowdedPoolTest.java
@@ -87,4 +87,48 @@
         assertThat(cluster.orders("w0").runs())
                 .anyMatch(r -> r.run().task().job().startsWith("gang-"));
     }
+
+    // Guards against choosing a worker by the work of all its runs: a gang of an hour was stopped for a task that the
+    // stop of one short run on another worker would have let in.
+    @Test
+    void stopsTheRunWithTheLeastWorkWhereverItIs() {
+        SchedulerFixture pool = new SchedulerFixture();
+        pool.worker("w1", "r1");
+        pool.submit(Jobs.job("old").priority(2).step(Jobs.step(1, 8)));
+        pool.runPass(3_000);
+        pool.worker("w2", "r1");
+        pool.submit(Jobs.job("older").priority(2).step(Jobs.step(7, 1)));
+        pool.runPass(3_000);
+        pool.submit(Jobs.job("young").priority(2).step(Jobs.step(1, 1)));
+
+        pool.submit(Jobs.job("urgent").priority(0).step(Jobs.step(1, 1)));
+
+        assertThat(pool.orders("w1").stops()).isEmpty();
+        assertThat(pool.orders("w2").stops())
+                .singleElement()
+                .satisfies(r -> assertThat(r.task().job()).isEqualTo("young"));
+    }
+
+    @Test
+    void countsAGangOnceWhenSeveralOfItsMembersAreStopped() {
+        SchedulerFixture pool = new SchedulerFixture();
+        for (int i = 0; i < 4; i++) {
+            pool.worker("w" + i, "r1");
+        }
+        StepSpec gang = Jobs.gang(Jobs.step(2, 8));
+        pool.submit(Jobs.job("gang").priority(1).step(gang));
+        pool.runPass(1_000);
+        pool.submit(Jobs.job("single").priority(1).step(Jobs.step(2, 8)));
+        pool.runPass(1_000);
+
+        pool.submit(Jobs.job("urgent").priority(0).step(Jobs.step(2, 8)));
+
+        List<String> stopped = IntStream.range(0, 4)
+                .mapToObj(i -> pool.orders("w" + i).stops())
+                .flatMap(List::stream)
+                .map(r -> r.task().job())
+                .distinct()
+                .toList();
+        assertThat(stopped).containsExactly("single");
+    }
 }
