--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -19,7 +19,7 @@
  * are expected to have free capacity for it soonest, so that no less urgent task is placed there.
  *
  * <p>Answers the load of hundreds of waiting tasks on a slow machine: capacity only shrinks during a pass, so once a unit
- * has found no place, others of the same shape go straight to their claims, and what a worker's runs hold is computed
+ * has found no place, others with the same {@link FitKey} go straight to their claims, and what a worker's runs hold is computed
  * once a pass. Not thread-safe.
  */
 final class PlacementPass {
@@ -69,14 +69,14 @@
      *
      * <p>Immutable.
      *
-     * @param priority the job's priority; units with more of a claim on capacity have other shapes
+     * @param priority the job's priority; it decides which runs may be preempted
      * @param guaranteed whether the unit may preempt whatever is lost by it
      * @param estimatedMs the estimate that bounds what other units may preempt, in milliseconds
      * @param anyRack whether racks without the data, or several racks, may be used
      * @param anyWorker whether workers to avoid may be used
      * @param step the step, if its tasks limit each other or an advisor decides on it
      */
-    private record Shape(
+    private record FitKey(
             Requirement requirement,
             int tasks,
             Resources need,
@@ -103,7 +103,7 @@
     private final Reclaim reclaim;
     private final Set<TaskId> tasksHoldingResources;
     private final Map<Requirement, List<WorkerAllocations>> suitableWorkers = new HashMap<>();
-    private final Set<Shape> blockedShapes = new HashSet<>();
+    private final Set<FitKey> unplaceable = new HashSet<>();
     private int claims;
 
     PlacementPass(SchedulerState schedulerState, long nowMs, long wallMs) {
@@ -170,8 +170,8 @@
     }
 
     private void place(Unit unit) {
-        Optional<Shape> shape = shapeOf(unit);
-        boolean blocked = shape.filter(blockedShapes::contains).isPresent();
+        Optional<FitKey> key = fitKey(unit);
+        boolean blocked = key.filter(unplaceable::contains).isPresent();
         if (blocked && claims == MAX_CLAIMS) {
             return;
         }
@@ -194,12 +194,12 @@
         if (urgent && reclaim(unit, eligible)) {
             return;
         }
-        shape.ifPresent(blockedShapes::add);
+        key.ifPresent(unplaceable::add);
         claim(unit, eligible);
     }
 
-    /** Returns the shape of a unit; empty if one of its tasks failed before, since these avoid workers of their own. */
-    private Optional<Shape> shapeOf(Unit unit) {
+    /** Returns what decides on a unit; empty if one of its tasks failed before, since these avoid workers of their own. */
+    private Optional<FitKey> fitKey(Unit unit) {
         BatchJob job = unit.job().job();
         StepSpec spec = unit.spec();
         boolean failedBefore = unit.tasks().stream().anyMatch(t -> t.failures() > 0);
@@ -207,7 +207,7 @@
             return Optional.empty();
         }
         boolean ownStep = spec.maxPerWorker() > 0 || job.advised();
-        return Optional.of(new Shape(
+        return Optional.of(new FitKey(
                 requirementOf(unit),
                 unit.tasks().size(),
                 spec.occupied(),
