--- a/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 
 /**
@@ -19,11 +21,13 @@
  */
 final class JobTable {
     private final Map<String, JobProgress> byId = new LinkedHashMap<>();
-    private final Map<Long, JobProgress> activeBySequence = new TreeMap<>();
+    // Jobs whose rows were written in one transaction share their sequence.
+    private final SortedSet<JobProgress> active = new TreeSet<>(Comparator.comparingLong(JobProgress::sequence)
+            .thenComparing(j -> j.job().id()));
 
     void add(JobProgress job) {
         byId.put(job.job().id(), job);
-        activeBySequence.put(job.sequence(), job);
+        active.add(job);
     }
 
     /** Returns a job; null for one that is not known. */
@@ -37,8 +41,8 @@
 
     /** Returns the jobs that have not ended, oldest first. */
     Collection<JobProgress> active() {
-        activeBySequence.values().removeIf(j -> j.phase().ended());
-        return activeBySequence.values();
+        active.removeIf(j -> j.phase().ended());
+        return Collections.unmodifiableSortedSet(active);
     }
 
     /** Finds the task that a run belongs to, if it is the task's current run. */
