--- a/review/standin/Cluster.java
+++ b/review/Cluster.java
@@ -148,7 +148,7 @@
         lines.add("app=" + ip + ":" + APP);
         lines.add("service=" + POOL);
         start(new Node(name, "agent", directory, lines, record));
-        String id = "i-7f3a91c" + runners.size();
+        String id = "i-7f3a91c" + Integer.toHexString(runners.size());
         runners.add(new Runner(id, ip, APP, "r1-1", ip + ":" + CONTROL, advisor, record, stopMs, firstHeartbeatMs));
     }
 
--- a/review/standin/UnconfirmedLeave.java
+++ b/review/UnconfirmedLeave.java
@@ -14,7 +14,7 @@
     private UnconfirmedLeave() {}
 
     static boolean holds(RunRecord record, Path directory, boolean trouble) throws Exception {
-        try (Cluster c = new Cluster(record, directory, 3, 11, 200, 0)) {
+        try (Cluster c = new Cluster(record, directory, 3, 14, 200, 0)) {
             String id = c.newId();
             LargeRow.accepted(c.submit(Cluster.NORMAL, id, Cluster.KEY_A, "work=12000", STEPS, ""));
             c.await("all subtasks run", 10_000, () -> record.running(id) == 4);
