Keep a restarted worker's orders until its new process lists its runs

Cause: agents address orders by the worker's name, so orders that are repeated reach the new process before its first heartbeat and are carried out there.

Change: the runs count as held until the first report of the new incarnation that lists its runs. The agent writes it after a poll under the fencing token of the registration, which voids earlier orders; what the list shows is stopped first, the rest is placed at once. Only runs of the registered process are looked up in the list of machines.

Core batch tests and TermTest green.

--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -145,7 +145,13 @@
         }
     }
 
-    /** Applies a worker's report. A worker with a new incarnation or marked as lost has lost all its runs. */
+    /**
+     * Applies a worker's report.
+     *
+     * <p>A worker marked as lost has lost all its runs. One with a new incarnation has lost those that its first list
+     * of runs does not show; until then all of them count as held, because the new process may have taken orders that
+     * were meant for the one before.
+     */
     public void report(WorkerReport report, long version, long nowMs) {
         WorkerAllocations w = workers.get(report.agent());
         if (w != null && version <= w.reportVersion()) {
@@ -171,6 +177,17 @@
             for (RunEnd end : report.formerEnds()) {
                 applyEnd(w, end, nowMs);
             }
+            if (!report.lost() && !report.listsRuns()) {
+                log.logDecision(
+                        "worker-registered",
+                        "worker",
+                        w.name(),
+                        "incarnation",
+                        report.incarnation(),
+                        "runsUndecided",
+                        w.runs().size());
+                return;
+            }
             markRunsLost(w, "worker-restarted", nowMs);
         }
         report.active().forEach(this::recordCheckpoint);
@@ -363,10 +380,12 @@
                 .anyMatch(w -> instances.contains(w.report().instance()));
     }
 
-    /** Tells whether runs may occupy an agent's worker. */
+    /** Tells whether runs may occupy the process that an agent has registered as its worker, not one before it. */
     public boolean holdsRuns(String agent) {
         WorkerAllocations w = workers.get(agent);
-        return w != null && w.heldTasks().findAny().isPresent();
+        return w != null
+                && w.sameIncarnation(w.report())
+                && w.heldTasks().findAny().isPresent();
     }
 
     /** Returns the store's version of an agent's newest report; 0 if there is none. */
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -10,8 +10,7 @@
  * <p>Immutable.
  *
  * @param agent the agent's name
- * @param incarnation identifies one incarnation of the worker under one registration; the runs of earlier
- *     incarnations are gone
+ * @param incarnation identifies one incarnation of the worker under one registration
  * @param instance the platform's name of the worker process
  * @param bornMs when the worker process started, in milliseconds since the Unix epoch
  * @param pool the pool that the worker belongs to
@@ -62,6 +61,17 @@
         pool = pool == null ? "" : pool;
     }
 
+    /**
+     * Tells whether the list of runs is complete; true if there is no worker.
+     *
+     * <p>The report with which an agent registers an incarnation lists none, because the worker has not been asked yet.
+     * An agent reads its orders first, then asks the worker under the new fencing token, which voids earlier orders,
+     * and only then reports again.
+     */
+    public boolean listsRuns() {
+        return instance.isEmpty() || ordersSeen > 0;
+    }
+
     /** Returns a copy of this report that is marked as lost. */
     public WorkerReport withLostMark() {
         return copy(ordersSeen, active, ends, formerEnds, true);
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -66,13 +67,13 @@
         WorkerReport r = reports.get(worker);
         List<RunEnd> ends = new ArrayList<>(r.ends());
         ends.add(end(number, task, run, kind));
-        report(with(r, r.incarnation(), List.of(), ends, List.of()));
+        report(with(r, r.incarnation(), true, List.of(), ends, List.of()));
     }
 
     void running(String worker, String task, int run, String checkpoint) {
         WorkerReport r = reports.get(worker);
         RunningTask active = new RunningTask(new TaskRun(TaskId.of(task), run), checkpoint, 50);
-        report(with(r, r.incarnation(), List.of(active), r.ends(), List.of()));
+        report(with(r, r.incarnation(), true, List.of(active), r.ends(), List.of()));
     }
 
     /** Reports a long-running task as fully running, in addition to those reported before. */
@@ -80,12 +81,22 @@
         WorkerReport r = reports.get(worker);
         List<RunningTask> active = new ArrayList<>(r.active());
         active.add(new RunningTask(new TaskRun(TaskId.of(task), run), "", 100));
-        report(with(r, r.incarnation(), active, r.ends(), List.of()));
+        report(with(r, r.incarnation(), true, active, r.ends(), List.of()));
     }
 
+    /** Reports that an agent has registered a new process of its worker, which takes no tasks yet. */
     void restart(String worker, List<RunEnd> formerEnds) {
         WorkerReport r = reports.get(worker);
-        report(with(r, r.incarnation() + "-next", List.of(), List.of(), formerEnds));
+        report(with(r, r.incarnation() + "-next", false, List.of(), List.of(), formerEnds));
+    }
+
+    /** Reports what a worker runs, after its agent has read the newest orders. */
+    void listRuns(String worker, TaskRun... running) {
+        WorkerReport r = reports.get(worker);
+        List<RunningTask> active =
+                Arrays.stream(running).map(t -> new RunningTask(t, "", 50)).toList();
+        report(with(r, r.incarnation(), true, active, r.ends(), List.of())
+                .withRuns(version, active, r.ends(), List.of()));
     }
 
     /** Reports that an agent has no worker any more. */
@@ -121,7 +132,12 @@
     }
 
     private static WorkerReport with(
-            WorkerReport r, String incarnation, List<RunningTask> active, List<RunEnd> ends, List<RunEnd> formerEnds) {
+            WorkerReport r,
+            String incarnation,
+            boolean takesTasks,
+            List<RunningTask> active,
+            List<RunEnd> ends,
+            List<RunEnd> formerEnds) {
         return new WorkerReport(
                 r.agent(),
                 incarnation,
@@ -132,7 +148,7 @@
                 r.labels(),
                 r.rack(),
                 r.zone(),
-                r.takesTasks(),
+                takesTasks,
                 r.sequence() + 1,
                 r.ordersSeen(),
                 active,
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -50,17 +50,21 @@
     }
 
     private void putWorker(String name) {
+        putReport(name, name, true);
+    }
+
+    private void putReport(String name, String instance, boolean takesTasks) {
         WorkerReport report = new WorkerReport(
                 name,
-                name + "-incarnation",
-                name,
+                instance + "-incarnation",
+                instance,
                 1,
                 "pool",
                 new Resources(32_000, 64_000, 8),
                 List.of("a", "r1"),
                 "r1",
                 "zone",
-                true,
+                takesTasks,
                 1,
                 0,
                 List.of(),
@@ -174,6 +178,28 @@
         assertThat(countWorkersWithSecondRun(Set.of())).isZero();
     }
 
+    // Guards against two runs at once: an agent registered a process that the registry did not list, and the runs of
+    // the process before it counted as lost with it, though that one was still up.
+    @Test
+    void waitsForTheLeaseOfAWorkerWhoseAgentHasRegisteredAnUnlistedProcess() throws Exception {
+        registry = () -> CompletableFuture.completedFuture(Set.of("w1", "w2"));
+        putWorker("w1");
+        putJob("a", 1, "team", 1, 8);
+        load();
+        term.step();
+        putReport("w1", "stranger", false);
+        putWorker("w2");
+        store.answerFirstWatches();
+        leader.start();
+        load();
+
+        clock.advanceMs(2_500);
+        term.step();
+        term.step();
+
+        assertThat(storedOrders("w2")).noneMatch(o -> !o.runs().isEmpty());
+    }
+
     private boolean heartbeatStored() {
         return store.get(Tables.LEADER, Tables.BEAT).join().isPresent();
     }
