Create occurrences that a restored job lacks

Cause: progress is stored of placed tasks alone, and an occurrence may be placed before an earlier one, for instance when the queue's advisor allows the earlier one on a busy worker alone. JobProgress.createDueOccurrences went on at the number of occurrences it knew; after a restore with occurrence 1 alone, it took occurrence 0 for created.

Change: it goes on at the first occurrence that is missing.

--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -22,6 +22,7 @@
     private final long sequence;
     private final long acceptedMs;
     private final Map<Integer, List<List<TaskProgress>>> occurrences = new TreeMap<>();
+    private int firstMissingOccurrence;
     private JobPhase phase = JobPhase.QUEUED;
     private long endedMs;
     private String immediateFailureWorker = "";
@@ -119,9 +120,12 @@
         return Optional.of(steps.get(id.step()).get(id.index()));
     }
 
-    /** Creates the tasks of every occurrence that is due. */
+    /** Creates the tasks of every occurrence that is due; after a restore, earlier ones than the newest may lack them. */
     void createDueOccurrences(long wallMs, long nowMs) {
-        for (int k = occurrences.size(); k < job.occurrences() && job.dueMs(k) <= wallMs; k++) {
+        while (occurrences.containsKey(firstMissingOccurrence)) {
+            firstMissingOccurrence++;
+        }
+        for (int k = firstMissingOccurrence; k < job.occurrences() && job.dueMs(k) <= wallMs; k++) {
             createOccurrence(k, nowMs);
         }
     }
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
@@ -267,6 +267,30 @@
                 .containsExactly("a.0.0.0");
     }
 
+    // Guards against losing an occurrence for good: progress is stored of placed tasks alone, so a new scheduler knew of
+    // the second occurrence but not of the first, which waited for its only permitted worker.
+    @Test
+    void restoresAnOccurrenceThatWasNotPlacedBeforeALaterOne() {
+        fixture.worker("w1", "r1");
+        fixture.worker("w2", "r1");
+        fixture.submit(
+                Jobs.job("a").advised().recurring(2, SchedulerFixture.WALL_MS, 0).step(Jobs.step(1, 1)));
+        AdviceCache.Query later = fixture.state().advice().pollQueries().stream()
+                .filter(q -> q.step().occurrence() == 1)
+                .findFirst()
+                .orElseThrow();
+        fixture.state().advice().recordAdvice(later, Map.of("w2", "ticket"), 1_000, 0);
+        fixture.runPass(10);
+        fixture.end("w2", 1, "a.1.0.0", 1, EndKind.DONE);
+
+        SchedulerFixture next = fixture.successor();
+
+        assertThat(next.state().advice().pollQueries())
+                .extracting(q -> q.step().occurrence())
+                .containsExactly(0);
+        assertThat(next.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+    }
+
     @Test
     void retriesATaskOnAnotherWorkerThanTheOneItFailedOn() {
         fixture.worker("w1", "r1");
