Keep each stored row within the size that the store takes

Cause: the orders of a worker carry the payload of each run in one row, and nothing compared a row with platform.row-bytes. The store refused the transaction, which ended the term, and each next leader made the same decisions. The row of a job's progress grew with its tasks in the same way, as did reports with the length of checkpoints.

Change: rows fit by construction. The emulated store and the store of the tests keep the platform's limits now.

JobTableTest asserts the same ids, which are now read from the returned jobs.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedStore.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedStore.java
@@ -34,6 +34,10 @@
     private static final int GONE = 410;
     private static final int CONDITION_FAILED = 412;
     private static final int UNAVAILABLE = 503;
+    private static final int BAD_REQUEST = 400;
+    private static final int MAX_ROW_BYTES = 65_536;
+    private static final int MAX_ENTRIES = 100;
+    private static final int MAX_TRANSACTION_BYTES = 1_000_000;
     private static final int NOT_FOUND = 404;
     /** Longer than any caller waits, in milliseconds. */
     private static final long SILENCE_MS = 60_000;
@@ -144,6 +148,16 @@
             body.set("rows", failed);
             return HttpServerResponse.of(CONDITION_FAILED, body);
         }
+        boolean tooLarge = false;
+        for (JsonNode w : tx.path("writes")) {
+            tooLarge |= Base64.getDecoder().decode(w.path("value").asText()).length > MAX_ROW_BYTES;
+        }
+        int entries = tx.path("expected-revision").size()
+                + tx.path("writes").size()
+                + tx.path("remove").size();
+        if (tooLarge || entries > MAX_ENTRIES || call.body().length > MAX_TRANSACTION_BYTES) {
+            return HttpServerResponse.of(BAD_REQUEST);
+        }
         version++;
         tx.path("writes").forEach(w -> apply(row(w, w.path("value").asText())));
         tx.path("remove").forEach(w -> apply(row(w, null)));
--- a/core/src/main/java/io/pollenreach/internal/batch/AdviceCache.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/AdviceCache.java
@@ -18,6 +18,9 @@
     /** Workers in one query: the platform expects thirty, and each adds to the advisor's response time. */
     static final int MAX_QUERY_WORKERS = 30;
 
+    /** Length of the longest ticket that orders may carry, in characters. */
+    private static final int MAX_TICKET_CHARS = 1_000;
+
     /** Part of a ticket's validity during which it is used; the rest is left for the order to reach the worker. */
     private static final double USABLE_FRACTION = 0.6;
 
@@ -76,7 +79,8 @@
     }
 
     /**
-     * Records the response to a query; candidate workers without a ticket are refused for good.
+     * Records the response to a query; candidate workers without a ticket, or with one that is too long, are refused for
+     * good.
      *
      * @param query the query
      * @param ticketByWorker the tickets of the workers that may run the step
@@ -91,8 +95,9 @@
         advice.inFlight = false;
         long untilMs = askedMs + Math.round(validMs * USABLE_FRACTION);
         for (String w : query.workers()) {
-            if (ticketByWorker.containsKey(w)) {
-                advice.tickets.put(w, new Ticket(ticketByWorker.get(w), untilMs));
+            String ticket = ticketByWorker.get(w);
+            if (ticket != null && ticket.length() <= MAX_TICKET_CHARS) {
+                advice.tickets.put(w, new Ticket(ticket, untilMs));
             } else {
                 advice.refused.add(w);
             }
--- a/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
@@ -145,7 +145,7 @@
 
     private int slots(WorkerAllocations w, Resources need, StepSpec spec, TaskId any) {
         Resources available = free.get(w);
-        long n = Integer.MAX_VALUE;
+        long n = w.freeRuns();
         n = Math.min(n, quotient(available.milliCpu(), need.milliCpu()));
         n = Math.min(n, quotient(available.memoryMb(), need.memoryMb()));
         n = Math.min(n, quotient(available.accelerators(), need.accelerators()));
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -1,6 +1,7 @@
 package io.pollenreach.internal.batch;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,7 +22,11 @@
     private final BatchJob job;
     private final long sequence;
     private final long acceptedMs;
+    private final long tasksPerOccurrence;
     private final Map<Integer, List<List<TaskProgress>>> occurrences = new TreeMap<>();
+    /** The stored rows by their numbers; empty for a job that never needs a second one. */
+    private Map<Integer, ProgressRow> storedRows = Map.of();
+
     private int firstMissingOccurrence;
     private JobPhase phase = JobPhase.QUEUED;
     private long endedMs;
@@ -38,23 +43,32 @@
         this.job = job;
         this.sequence = sequence;
         this.acceptedMs = acceptedMs;
+        tasksPerOccurrence = job.steps().stream().mapToLong(StepSpec::taskCount).sum();
     }
 
-    /** Restores the progress of a job from its stored row. */
-    public static JobProgress fromRow(BatchJob job, long sequence, ProgressRow row, long nowMs) {
+    /**
+     * Restores the progress of a job from its stored rows, by their keys; fails if the first one is not among them.
+     *
+     * <p>Rows of an earlier version may hold more tasks than one row does now.
+     */
+    public static JobProgress fromRows(BatchJob job, long sequence, Map<String, ProgressRow> rowsByKey, long nowMs) {
         JobProgress progress = new JobProgress(job, sequence, nowMs);
-        progress.phase = row.phase();
+        progress.phase = RequiredField.of(rowsByKey.get(job.id()), "the first row of progress")
+                .phase();
         progress.endedMs = nowMs;
-        for (ProgressRow.TaskRow t : row.tasks()) {
-            checkRange(job, t);
-            List<TaskProgress> step =
-                    progress.createOccurrence(t.occurrence(), nowMs).get(t.step());
-            TaskId id = new TaskId(job.id(), t.occurrence(), t.step(), t.index());
-            step.set(t.index(), TaskProgress.fromRow(t, id, nowMs));
+        for (ProgressRow row : rowsByKey.values()) {
+            row.tasks().forEach(t -> progress.restoreTask(t, nowMs));
         }
         return progress;
     }
 
+    private void restoreTask(ProgressRow.TaskRow t, long nowMs) {
+        checkRange(job, t);
+        List<TaskProgress> step = createOccurrence(t.occurrence(), nowMs).get(t.step());
+        TaskId id = new TaskId(job.id(), t.occurrence(), t.step(), t.index());
+        step.set(t.index(), TaskProgress.fromRow(t, id, nowMs));
+    }
+
     private static void checkRange(BatchJob job, ProgressRow.TaskRow t) {
         boolean known = t.occurrence() >= 0
                 && t.occurrence() < job.occurrences()
@@ -69,11 +83,50 @@
         }
     }
 
-    /** Returns the row to store, from which {@link #fromRow} restores this progress. */
-    public ProgressRow toRow() {
-        return new ProgressRow(
-                phase,
-                tasks().filter(TaskProgress::wasPlaced).map(TaskProgress::toRow).toList());
+    /** Returns the rows that differ from those that were stored, by their keys, the first one in any case. */
+    Map<String, ProgressRow> changedRows() {
+        Map<String, ProgressRow> changed = new LinkedHashMap<>();
+        Map<Integer, ProgressRow> rows = rows();
+        rows.forEach((number, row) -> {
+            ProgressRow stored = storedRows.get(number);
+            if (number == 0 || stored == null || !stored.tasks().equals(row.tasks())) {
+                changed.put(ProgressRow.key(job.id(), number), row);
+            }
+        });
+        return changed;
+    }
+
+    /** Records that all changed rows were stored. */
+    void committed() {
+        // The first row is written with every change, so it need not be compared.
+        if (tasksPerOccurrence * job.occurrences() > ProgressRow.MAX_TASKS) {
+            storedRows = rows();
+        }
+    }
+
+    /** Returns the keys of all rows that may be stored for this job, the first one first. */
+    List<String> rowKeys() {
+        return rows().keySet().stream().map(n -> ProgressRow.key(job.id(), n)).toList();
+    }
+
+    /** Returns the rows to store by their numbers, without empty ones but with the first one. */
+    private Map<Integer, ProgressRow> rows() {
+        Map<Integer, List<ProgressRow.TaskRow>> tasksByRow = new TreeMap<>();
+        tasksByRow.put(0, new ArrayList<>());
+        tasks().filter(TaskProgress::wasPlaced).forEach(t -> tasksByRow
+                .computeIfAbsent(rowOf(t.id()), n -> new ArrayList<>())
+                .add(t.toRow()));
+        Map<Integer, ProgressRow> rows = new TreeMap<>();
+        tasksByRow.forEach((number, tasks) -> rows.put(number, new ProgressRow(phase, tasks)));
+        return rows;
+    }
+
+    private int rowOf(TaskId id) {
+        long before = id.occurrence() * tasksPerOccurrence + id.index();
+        for (StepSpec s : job.steps().subList(0, id.step())) {
+            before += s.taskCount();
+        }
+        return Math.toIntExact(before / ProgressRow.MAX_TASKS);
     }
 
     /** Returns the job as it was submitted. */
--- a/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
@@ -63,16 +63,17 @@
         return count;
     }
 
-    /** Removes the jobs that ended before a time and fulfil a condition; returns their ids. */
-    List<String> removeEndedBefore(long timeMs, Predicate<String> condition) {
-        List<String> removed = new ArrayList<>();
+    /** Removes the jobs that ended before a time and whose id fulfils a condition; returns them. */
+    List<JobProgress> removeEndedBefore(long timeMs, Predicate<String> condition) {
+        List<JobProgress> removed = new ArrayList<>();
         for (JobProgress job : byId.values()) {
-            String id = job.job().id();
-            if (job.phase().ended() && job.endedMs() < timeMs && condition.test(id)) {
-                removed.add(id);
+            if (job.phase().ended()
+                    && job.endedMs() < timeMs
+                    && condition.test(job.job().id())) {
+                removed.add(job);
             }
         }
-        removed.forEach(byId::remove);
+        removed.forEach(j -> byId.remove(j.job().id()));
         return removed;
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
@@ -5,19 +5,37 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 
 /**
- * The stored progress of a job; only the leader writes it.
+ * A stored row of a job's progress; only the leader writes it.
  *
- * <p>Immutable.
+ * <p>A job with more than {@link #MAX_TASKS} tasks has several rows, so that none grows beyond what the store takes. The
+ * key of the first is the job's id, that of the others the id with {@link #SEPARATOR} and a number from 1. Immutable.
  *
- * @param phase the job's phase
- * @param tasks the tasks that were placed at least once
+ * @param phase the job's phase when the row was written; only that of the job's first row is kept up to date
+ * @param tasks the tasks of this row that were placed at least once
  */
 public record ProgressRow(JobPhase phase, List<TaskRow> tasks) {
+    /** Tasks whose progress one row holds. */
+    public static final int MAX_TASKS = 250;
+
+    /** Separates a job's id from the number of a row; no id contains it. */
+    public static final char SEPARATOR = '~';
+
     public ProgressRow {
         RequiredField.of(phase, "phase");
         tasks = tasks == null ? List.of() : List.copyOf(tasks);
     }
 
+    /** Returns the key of a job's row with a number from 0. */
+    static String key(String job, int number) {
+        return number == 0 ? job : job + SEPARATOR + number;
+    }
+
+    /** Returns the id of the job that a row belongs to. */
+    public static String jobOf(String key) {
+        int end = key.indexOf(SEPARATOR);
+        return end < 0 ? key : key.substring(0, end);
+    }
+
     /**
      * The stored progress of one task.
      *
--- a/core/src/main/java/io/pollenreach/internal/batch/RunEnd.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunEnd.java
@@ -15,6 +15,6 @@
     public RunEnd {
         RequiredField.of(run, "run");
         RequiredField.of(kind, "kind");
-        checkpoint = checkpoint == null ? "" : checkpoint;
+        checkpoint = Checkpoint.orNone(checkpoint);
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/RunningTask.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunningTask.java
@@ -15,6 +15,6 @@
 
     public RunningTask {
         RequiredField.of(run, "run");
-        checkpoint = checkpoint == null ? "" : checkpoint;
+        checkpoint = Checkpoint.orNone(checkpoint);
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -18,8 +18,16 @@
  * Not thread-safe: confined to the scheduler's thread.
  */
 public final class SchedulerState {
-    /** Rows to store together. Immutable. */
-    public record Changes(Map<String, ProgressRow> jobs, Map<String, WorkerOrders> workers) {
+    /**
+     * Rows to store, those of jobs first.
+     *
+     * <p>Immutable.
+     *
+     * @param jobs the changed rows of progress by job and then by key; the rows of one job belong into one transaction,
+     *     and its first row comes first, so that a job of which only some could be stored never seems to be new
+     * @param workers the changed orders by the agent's name
+     */
+    public record Changes(Map<String, Map<String, ProgressRow>> jobs, Map<String, WorkerOrders> workers) {
         /** Tells whether there is nothing to store. */
         public boolean isEmpty() {
             return jobs.isEmpty() && workers.isEmpty();
@@ -68,9 +76,9 @@
         placementChanged = true;
     }
 
-    /** Adds a job whose progress an earlier scheduler stored. */
-    public void restore(BatchJob job, long sequence, ProgressRow row, long nowMs) {
-        add(JobProgress.fromRow(job, sequence, row, nowMs), nowMs);
+    /** Adds a job whose progress an earlier scheduler stored in one or more rows. */
+    public void restore(BatchJob job, long sequence, Map<String, ProgressRow> rowsByKey, long nowMs) {
+        add(JobProgress.fromRows(job, sequence, rowsByKey, nowMs), nowMs);
     }
 
     private void add(JobProgress job, long nowMs) {
@@ -449,7 +457,7 @@
             String ticket = advice.ticket(StepId.of(t.id()), a.worker().report().instance(), nowMs)
                     .orElse("");
             WorkerOrders.OrderedRun order = new WorkerOrders.OrderedRun(
-                    t.taskRun(), job.job().payload(), checkpoint, ticket, spec.targetLatencyMs(), spec.filler());
+                    t.taskRun(), job.job().payload(), checkpoint, ticket, spec.targetLatencyMs(), spec.filler(), false);
             a.worker().order(order, spec.occupied());
             changedWorkers.add(a.worker().name());
             log.logDecision(
@@ -493,8 +501,8 @@
 
     /** Returns the changes that must be stored before agents may act on them. */
     public Changes changes() {
-        Map<String, ProgressRow> rows = new LinkedHashMap<>();
-        changedJobs.forEach(id -> rows.put(id, jobs.get(id).toRow()));
+        Map<String, Map<String, ProgressRow>> rows = new LinkedHashMap<>();
+        changedJobs.forEach(id -> rows.put(id, jobs.get(id).changedRows()));
         Map<String, WorkerOrders> orders = new LinkedHashMap<>();
         changedWorkers.forEach(n -> orders.put(n, workers.get(n).toOrders()));
         return new Changes(rows, orders);
@@ -502,15 +510,23 @@
 
     /** Records that the changes returned by {@link #changes()} were stored under a version. */
     public void committed(long version) {
+        changedJobs.forEach(id -> jobs.get(id).committed());
         changedWorkers.forEach(n -> workers.get(n).committed(version));
         changedJobs.clear();
         changedWorkers.clear();
     }
 
-    /** Removes the jobs that ended longer ago than a time, in milliseconds, and returns their ids. */
-    public List<String> expire(long keepMs, long nowMs) {
-        List<String> expired = jobs.removeEndedBefore(nowMs - keepMs, id -> !changedJobs.contains(id));
-        expired.forEach(cancelled::remove);
+    /**
+     * Removes the jobs that ended longer ago than a time, in milliseconds.
+     *
+     * @return the keys of the rows of progress of each removed job, by its id
+     */
+    public Map<String, List<String>> expire(long keepMs, long nowMs) {
+        Map<String, List<String>> expired = new LinkedHashMap<>();
+        for (JobProgress job : jobs.removeEndedBefore(nowMs - keepMs, id -> !changedJobs.contains(id))) {
+            expired.put(job.job().id(), job.rowKeys());
+            cancelled.remove(job.job().id());
+        }
         return expired;
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
@@ -1,9 +1,11 @@
 package io.pollenreach.internal.batch;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Stream;
 
@@ -14,6 +16,18 @@
  * capacity less what these occupy. Not thread-safe: confined to the scheduler's thread.
  */
 final class WorkerAllocations {
+    /**
+     * Runs that one worker may hold, those that are being stopped included. The rows of its orders and of its report grow
+     * with them and have to fit into what the store takes.
+     */
+    static final int MAX_RUNS = 400;
+
+    /** Bytes of payload that the orders of one worker carry; the payload of further runs is read from their job's row. */
+    private static final int MAX_INLINE_PAYLOAD_BYTES = 16_000;
+
+    /** Characters of tickets and checkpoints, which hardly shrink, that the orders of one worker may carry. */
+    private static final int MAX_TOKEN_CHARS = 16_000;
+
     private static final long UNCOMMITTED = Long.MAX_VALUE;
 
     /** A run that the worker was ordered to stop. */
@@ -30,11 +44,18 @@
     }
 
     /** A run that the worker is ordered to start and keep running. Immutable. */
-    private record Allocation(WorkerOrders.OrderedRun order, Resources held) {}
+    private record Allocation(WorkerOrders.OrderedRun order, Resources held) {
+        int tokenChars() {
+            return order.ticket().length() + order.checkpoint().length();
+        }
+    }
 
     private final String name;
     private final Map<TaskRun, Allocation> runs = new LinkedHashMap<>();
     private final Map<TaskRun, Stop> stops = new LinkedHashMap<>();
+    /** The characters of tickets and checkpoints of all runs. */
+    private int tokenChars;
+
     private WorkerReport report;
     private long reportVersion;
     private long reportedMs;
@@ -100,15 +121,14 @@
     void restore(WorkerOrders orders, long version, Function<TaskId, Resources> needs, long nowMs) {
         ordersIncarnation = orders.incarnation();
         lastEndNumber = orders.endsTaken();
-        orders.runs()
-                .forEach(r ->
-                        runs.put(r.run(), new Allocation(r, needs.apply(r.run().task()))));
+        orders.runs().forEach(r -> order(r, needs.apply(r.run().task())));
         orders.stops().forEach(r -> stops.put(r, new Stop(needs.apply(r.task()), nowMs, version)));
     }
 
     /** Clears the orders for a new incarnation of the worker. */
     void startIncarnation() {
         runs.clear();
+        tokenChars = 0;
         stops.clear();
         lastEndNumber = 0;
         ordersIncarnation = report.incarnation();
@@ -116,11 +136,18 @@
     }
 
     WorkerOrders toOrders() {
-        return new WorkerOrders(
-                ordersIncarnation,
-                runs.values().stream().map(Allocation::order).toList(),
-                new ArrayList<>(stops.keySet()),
-                lastEndNumber);
+        List<WorkerOrders.OrderedRun> orders = new ArrayList<>();
+        int bytes = 0;
+        for (Allocation a : runs.values()) {
+            bytes += a.order().payload().getBytes(StandardCharsets.UTF_8).length;
+            orders.add(bytes <= MAX_INLINE_PAYLOAD_BYTES ? a.order() : a.order().withoutPayload());
+        }
+        return new WorkerOrders(ordersIncarnation, orders, new ArrayList<>(stops.keySet()), lastEndNumber);
+    }
+
+    /** Returns how many more runs the worker may hold. */
+    int freeRuns() {
+        return tokenChars > MAX_TOKEN_CHARS ? 0 : Math.max(0, MAX_RUNS - runs.size() - stops.size());
     }
 
     Resources free() {
@@ -171,17 +198,23 @@
     }
 
     void order(WorkerOrders.OrderedRun order, Resources held) {
-        runs.put(order.run(), new Allocation(order, held));
+        Allocation allocation = new Allocation(order, held);
+        runs.put(order.run(), allocation);
+        tokenChars += allocation.tokenChars();
+    }
+
+    /** Removes a run from those that the worker is ordered to keep running. */
+    private Optional<Allocation> removeOrder(TaskRun run) {
+        Optional<Allocation> removed = Optional.ofNullable(runs.remove(run));
+        removed.ifPresent(a -> tokenChars -= a.tokenChars());
+        return removed;
     }
 
     /** Orders a run to be stopped; tells whether anything changed. */
     boolean stop(TaskRun run, long nowMs) {
-        Allocation held = runs.remove(run);
-        if (held == null) {
-            return false;
-        }
-        stops.put(run, new Stop(held.held(), nowMs, UNCOMMITTED));
-        return true;
+        Optional<Allocation> removed = removeOrder(run);
+        removed.ifPresent(a -> stops.put(run, new Stop(a.held(), nowMs, UNCOMMITTED)));
+        return removed.isPresent();
     }
 
     /** Orders an unknown run to be stopped, one that is active without an order; tells whether anything changed. */
@@ -195,7 +228,7 @@
 
     /** Removes a run that the worker has reported as ended; tells whether anything changed. */
     boolean remove(TaskRun run) {
-        boolean ordered = runs.remove(run) != null;
+        boolean ordered = removeOrder(run).isPresent();
         return stops.remove(run) != null || ordered;
     }
 
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerOrders.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerOrders.java
@@ -34,15 +34,23 @@
      * <p>Immutable.
      *
      * @param run the run
-     * @param payload what the run executes, unchanged from the job
+     * @param payload what the run executes, unchanged from the job; empty if {@code payloadInJob}
      * @param checkpoint the checkpoint to resume from; empty for none
      * @param ticket the ticket that the queue's advisor issued for this worker; empty for none
      * @param targetLatencyMs the tail latency below which the run must serve requests, in milliseconds; 0 for none
      * @param filler whether the run is throttled in favour of runs with a latency target
+     * @param payloadInJob whether the payload must be read from the job's row, because that of all runs together is too
+     *     large for the row of the orders
      */
     @JsonInclude(JsonInclude.Include.NON_DEFAULT)
     public record OrderedRun(
-            TaskRun run, String payload, String checkpoint, String ticket, int targetLatencyMs, boolean filler) {
+            TaskRun run,
+            String payload,
+            String checkpoint,
+            String ticket,
+            int targetLatencyMs,
+            boolean filler,
+            boolean payloadInJob) {
         public OrderedRun {
             RequiredField.of(run, "run");
             payload = payload == null ? "" : payload;
@@ -52,7 +60,17 @@
 
         /** Returns an order for a run without a latency target that is not a filler. */
         public static OrderedRun of(TaskRun run, String payload) {
-            return new OrderedRun(run, payload, "", "", 0, false);
+            return new OrderedRun(run, payload, "", "", 0, false, false);
+        }
+
+        /** Returns this order without its payload, which is then read from the job's row. */
+        public OrderedRun withoutPayload() {
+            return new OrderedRun(run, "", checkpoint, ticket, targetLatencyMs, filler, true);
+        }
+
+        /** Returns this order with the payload that was read from the job's row. */
+        public OrderedRun withPayload(String read) {
+            return new OrderedRun(run, read, checkpoint, ticket, targetLatencyMs, filler, false);
         }
     }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/JobTableTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/JobTableTest.java
@@ -42,9 +42,9 @@
         add("gone", 3).end(JobPhase.COMPLETED, 10);
         add("recent", 4).end(JobPhase.COMPLETED, 90);
 
-        List<String> removed = table.removeEndedBefore(50, id -> !id.equals("kept"));
+        List<JobProgress> removed = table.removeEndedBefore(50, id -> !id.equals("kept"));
 
-        assertThat(removed).containsExactly("gone");
+        assertThat(removed).extracting(j -> j.job().id()).containsExactly("gone");
         assertThat(table.byId()).containsOnlyKeys("running", "kept", "recent");
     }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -178,7 +178,9 @@
         nowMs += ms;
         state.plan(nowMs, WALL_MS + nowMs);
         SchedulerState.Changes changes = state.changes();
-        changes.jobs().forEach((id, row) -> progress.put(id, roundTrip(row, ProgressRow.class)));
+        changes.jobs()
+                .values()
+                .forEach(rows -> rows.forEach((key, row) -> progress.put(key, roundTrip(row, ProgressRow.class))));
         changes.workers().forEach((name, row) -> orders.put(name, roundTrip(row, WorkerOrders.class)));
         state.committed(++version);
     }
@@ -194,7 +196,7 @@
         long sequence = 0;
         for (BatchJob job : jobs.values()) {
             next.jobs.put(job.id(), job);
-            next.state.restore(job, ++sequence, progress.get(job.id()), nowMs);
+            next.state.restore(job, ++sequence, progressOf(job.id()), nowMs);
         }
         reports.values().forEach(r -> next.state.restore(r, ++next.version, orders.get(r.agent()), version, nowMs));
         next.progress.putAll(progress);
@@ -208,6 +210,12 @@
         return orders.getOrDefault(worker, WorkerOrders.none(""));
     }
 
+    private Map<String, ProgressRow> progressOf(String job) {
+        Map<String, ProgressRow> rows = new HashMap<>(progress);
+        rows.keySet().removeIf(key -> !ProgressRow.jobOf(key).equals(job));
+        return rows;
+    }
+
     ProgressRow progress(String job) {
         return progress.get(job);
     }
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
@@ -267,14 +267,17 @@
                 .containsExactly("a.0.0.0");
     }
 
-    // Guards against losing an occurrence for good: progress is stored of placed tasks alone, so a new scheduler knew of
+    // Guards against losing an occurrence for good: progress is stored of placed tasks alone, so a new scheduler knew
+    // of
     // the second occurrence but not of the first, which waited for its only permitted worker.
     @Test
     void restoresAnOccurrenceThatWasNotPlacedBeforeALaterOne() {
         fixture.worker("w1", "r1");
         fixture.worker("w2", "r1");
-        fixture.submit(
-                Jobs.job("a").advised().recurring(2, SchedulerFixture.WALL_MS, 0).step(Jobs.step(1, 1)));
+        fixture.submit(Jobs.job("a")
+                .advised()
+                .recurring(2, SchedulerFixture.WALL_MS, 0)
+                .step(Jobs.step(1, 1)));
         AdviceCache.Query later = fixture.state().advice().pollQueries().stream()
                 .filter(q -> q.step().occurrence() == 1)
                 .findFirst()
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -61,12 +61,20 @@
      * Accepts a job.
      *
      * @return completes once the job is stored; fails with {@code PLATFORM_UNAVAILABLE} when surely nothing was stored,
-     *     and with {@code WRITE_UNKNOWN} when it may have been
+     *     with {@code WRITE_UNKNOWN} when it may have been, and with {@code TOO_LARGE} when no row could hold the job
      */
     public CompletableFuture<Void> submit(BatchJob job) {
-        Transaction tx =
-                new Transaction().expect(Tables.JOBS, job.id(), 0).write(Tables.JOBS, job.id(), RowCodec.toValue(job));
         long startMs = clock.nowMs();
+        byte[] value = RowCodec.toValue(job);
+        if (value.length > store.maxRowBytes()) {
+            PollenreachException e = new PollenreachException(
+                    ResultCode.TOO_LARGE,
+                    "steps",
+                    "the job has " + value.length + " bytes when stored; the limit is " + store.maxRowBytes());
+            note("job-submitted", job.id(), startMs, e, "queue", job.queue());
+            return CompletableFuture.failedFuture(e);
+        }
+        Transaction tx = new Transaction().expect(Tables.JOBS, job.id(), 0).write(Tables.JOBS, job.id(), value);
         return answering(job.id())
                 .thenCompose(v -> write(tx, Tables.JOBS, job.id(), startMs, false))
                 .whenComplete((v, t) -> note("job-submitted", job.id(), startMs, t, "queue", job.queue()));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -173,16 +174,19 @@
     }
 
     private void loadJobs(Rows jobs, Rows progress, long nowMs) {
-        Map<String, ProgressRow> progressById = new HashMap<>();
-        progress.rows()
-                .forEach(r -> RowCodec.fromRow(r, ProgressRow.class).ifPresent(p -> progressById.put(r.key(), p)));
+        Map<String, Map<String, ProgressRow>> progressByJob = new HashMap<>();
+        for (StoredRow r : progress.rows()) {
+            RowCodec.fromRow(r, ProgressRow.class).ifPresent(p -> progressByJob
+                    .computeIfAbsent(ProgressRow.jobOf(r.key()), id -> new HashMap<>())
+                    .put(r.key(), p));
+        }
         for (StoredRow row : jobs.rows()) {
             RowCodec.fromRow(row, BatchJob.class).ifPresent(job -> {
-                ProgressRow p = progressById.get(job.id());
-                if (p == null) {
+                Map<String, ProgressRow> rowsByKey = progressByJob.get(job.id());
+                if (rowsByKey == null) {
                     state.accept(job, row.version(), nowMs);
                 } else {
-                    guarded(row, () -> state.restore(job, row.version(), p, nowMs));
+                    guarded(row, () -> state.restore(job, row.version(), rowsByKey, nowMs));
                 }
             });
         }
@@ -393,20 +397,29 @@
         List<Transaction> all = new ArrayList<>();
         Transaction tx = newTermTransaction();
         tx.write(Tables.LEADER, Tables.BEAT, RowCodec.toValue(nextHeartbeat()));
-        for (Map.Entry<String, ProgressRow> j : changes.jobs().entrySet()) {
-            tx = nextIfFull(tx, all);
-            tx.write(Tables.PROGRESS, j.getKey(), RowCodec.toValue(j.getValue()));
+        for (Map<String, ProgressRow> rowsOfJob : changes.jobs().values()) {
+            Map<String, byte[]> values = new LinkedHashMap<>();
+            rowsOfJob.forEach((key, row) -> values.put(key, RowCodec.toValue(row)));
+            long bytes = values.values().stream().mapToLong(v -> v.length).sum();
+            tx = nextUnlessFits(tx, values.size(), bytes, all);
+            for (Map.Entry<String, byte[]> v : values.entrySet()) {
+                tx = nextUnlessFits(tx, 1, v.getValue().length, all);
+                tx.write(Tables.PROGRESS, v.getKey(), v.getValue());
+            }
         }
         for (Map.Entry<String, WorkerOrders> w : changes.workers().entrySet()) {
-            tx = nextIfFull(tx, all);
-            tx.write(Tables.ordersOf(w.getKey()), w.getKey(), RowCodec.toValue(w.getValue()));
+            byte[] value = RowCodec.toValue(w.getValue());
+            tx = nextUnlessFits(tx, 1, value.length, all);
+            tx.write(Tables.ordersOf(w.getKey()), w.getKey(), value);
         }
         all.add(tx);
         return all;
     }
 
-    private Transaction nextIfFull(Transaction tx, List<Transaction> full) {
-        if (tx.size() < StateStore.MAX_ENTRIES && tx.bytes() < StateStore.MAX_BYTES) {
+    /** Returns the transaction that further rows belong into: a new one if they do not fit into the current one. */
+    private Transaction nextUnlessFits(Transaction tx, int rows, long bytes, List<Transaction> full) {
+        boolean fits = tx.size() + rows <= StateStore.MAX_ENTRIES && tx.bytes() + bytes <= StateStore.MAX_BYTES;
+        if (fits || tx.writes().isEmpty()) {
             return tx;
         }
         full.add(tx);
@@ -426,13 +439,18 @@
             return;
         }
         lastExpiryMs = nowMs;
-        List<String> expiredIds = state.expire(ENDED_JOB_RETENTION_MS, nowMs);
-        for (String id : expiredIds) {
-            Transaction tx = newTermTransaction()
-                    .remove(Tables.JOBS, id)
-                    .remove(Tables.PROGRESS, id)
-                    .remove(Tables.CANCELS, id);
+        for (Map.Entry<String, List<String>> job :
+                state.expire(ENDED_JOB_RETENTION_MS, nowMs).entrySet()) {
+            Transaction tx =
+                    newTermTransaction().remove(Tables.JOBS, job.getKey()).remove(Tables.CANCELS, job.getKey());
             try {
+                for (String key : job.getValue()) {
+                    if (tx.size() == StateStore.MAX_ENTRIES) {
+                        store.commit(tx).join();
+                        tx = newTermTransaction();
+                    }
+                    tx.remove(Tables.PROGRESS, key);
+                }
                 store.commit(tx).join();
             } catch (RuntimeException e) {
                 rethrowUnlessUnavailable(PollenreachException.of(e));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/MeteredStore.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/MeteredStore.java
@@ -40,6 +40,11 @@
         this.clock = clock;
     }
 
+    @Override
+    public int maxRowBytes() {
+        return store.maxRowBytes();
+    }
+
     @Override
     public CompletableFuture<Optional<StoredRow>> get(String table, String key) {
         return timed("get", store.get(table, key));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/StateStore.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/StateStore.java
@@ -7,7 +7,7 @@
  * A transactional store of rows whose changes can be followed.
  *
  * <p>Makes each call once. Failures are {@link io.pollenreach.PollenreachException}s: {@code CONFLICT} when a condition
- * does not hold (nothing was written), {@code PLATFORM_UNAVAILABLE} when surely nothing was written, {@code
+ * does not hold (nothing was written), {@code TOO_LARGE} when a value is larger than a row may be (nothing was sent), {@code PLATFORM_UNAVAILABLE} when surely nothing was written, {@code
  * WRITE_UNKNOWN} when a transaction may have taken effect or may yet do so, {@code HISTORY_GONE} when changes can no
  * longer be followed from a version. Implementations are safe for use by many threads.
  */
@@ -18,6 +18,9 @@
     /** Bytes of values that one transaction may carry: the platform takes 1 MB, of text that is a third longer. */
     int MAX_BYTES = 600_000;
 
+    /** Bytes that the value of one row may have. */
+    int maxRowBytes();
+
     /** Reads one row. */
     CompletableFuture<Optional<StoredRow>> get(String table, String key);
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -57,6 +57,7 @@
     private final String name;
     private final StateStore store;
     private final Claims claims;
+    private final JobPayloads payloads;
     private final TaskRunner runner;
     private final Clock clock;
     private final Reporter reporter;
@@ -79,6 +80,7 @@
         this.name = name;
         this.store = store;
         claims = new Claims(name, store, clock);
+        payloads = new JobPayloads(store);
         this.runner = runner;
         this.clock = clock;
         thread = new ScheduledThreadPoolExecutor(1, r -> {
@@ -331,11 +333,38 @@
                 inc.reportSoon = true;
                 continue;
             }
-            runner.start(inc.authority(), order, inc.leaseUntilMs)
-                    .whenCompleteAsync((o, t) -> guarded(() -> started(inc, order.run(), o, t)), thread);
+            if (order.payloadInJob()) {
+                payloads.read(order)
+                        .whenCompleteAsync((o, t) -> guarded(() -> payloadRead(inc, order.run(), o, t)), thread);
+            } else {
+                start(inc, order);
+            }
+        }
+    }
+
+    private void payloadRead(Incarnation inc, TaskRun run, WorkerOrders.OrderedRun order, Throwable t) {
+        if (inc != incarnation) {
+            return;
+        }
+        if (t == null) {
+            start(inc, order);
+            return;
+        }
+        PollenreachException e = PollenreachException.of(t);
+        warn("payload-unread", "run", run, e);
+        if (e.code() == ResultCode.NOT_FOUND) {
+            inc.runs.abandon(run);
+            inc.reportSoon = true;
+        } else {
+            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
         }
     }
 
+    private void start(Incarnation inc, WorkerOrders.OrderedRun order) {
+        runner.start(inc.authority(), order, inc.leaseUntilMs)
+                .whenCompleteAsync((o, t) -> guarded(() -> started(inc, order.run(), o, t)), thread);
+    }
+
     private void started(Incarnation inc, TaskRun run, TaskRunner.StartOutcome outcome, Throwable t) {
         if (inc != incarnation) {
             return;
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
@@ -1,7 +1,9 @@
 package io.pollenreach.daemon.internal.intake;
 
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 
 import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
@@ -47,6 +49,21 @@
         assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.OK);
     }
 
+    // Guards against one job that stops all others: what is accepted has to be storable.
+    @Test
+    void rejectsAJobThatIsLargerThanARow() {
+        Random random = new Random(3);
+        List<StepSpec> steps = IntStream.range(0, 4_000)
+                .mapToObj(i -> StepSpec.builder(1, Resources.NONE)
+                        .requiredLabel(Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong()))
+                        .build())
+                .toList();
+        BatchJob large = new BatchJob("a", "q", "team", "pool", 1, 3, "payload", steps, null, false);
+
+        assertThat(failure(intake.submit(large))).isEqualTo(ResultCode.TOO_LARGE);
+        assertThat(store.get(Tables.JOBS, "a").join()).isEmpty();
+    }
+
     @Test
     void doesNotPromiseThatADoubtfulJobNeverRuns() {
         store.failCommits(ResultCode.WRITE_UNKNOWN);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -28,9 +29,11 @@
 class TermTest {
     private static final long LEASE_MS = 6_000;
     private static final long POLL_MS = 10;
+    private static final String[] WORKERS = {"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"};
 
     private final MemoryStore store = new MemoryStore();
     private final ManualClock clock = new ManualClock();
+    private final Random random = new Random(7);
     private final LeaderWatch leader = new LeaderWatch(store, clock);
     private WorkerRegistry registry = WorkerRegistry.none();
     private Term term;
@@ -78,7 +81,11 @@
         StepSpec step = StepSpec.builder(tasks, new Resources(1_000, 1_000, accelerators))
                 .estimatedMs(1_000)
                 .build();
-        BatchJob job = new BatchJob(id, "q", workspace, "pool", priority, 3, "payload", List.of(step), null, false);
+        putJob(id, priority, workspace, step, "payload");
+    }
+
+    private void putJob(String id, int priority, String workspace, StepSpec step, String payload) {
+        BatchJob job = new BatchJob(id, "q", workspace, "pool", priority, 3, payload, List.of(step), null, false);
         store.put(Tables.JOBS, id, RowCodec.toValue(job));
     }
 
@@ -200,6 +207,58 @@
         assertThat(storedOrders("w2")).noneMatch(o -> !o.runs().isEmpty());
     }
 
+    // Guards against one job that stops all others: the orders of its tasks were larger than a row, so the leader could
+    // store nothing, and each leader after it made the same orders.
+    @Test
+    void storesOrdersWhosePayloadsTogetherAreLargerThanARow() throws Exception {
+        putWorker("w1");
+        StepSpec step = StepSpec.builder(30, new Resources(500, 500, 0)).build();
+        for (int i = 0; i < 20; i++) {
+            putJob("large-" + i, 1, "team", step, randomText(4_000));
+        }
+        putJob("other", 1, "lab", 1, 1);
+        load();
+
+        term.step();
+
+        WorkerOrders orders = storedOrders("w1").get(0);
+        assertThat(orders.runs()).hasSizeGreaterThan(40);
+        assertThat(orders.runs()).allMatch(r -> r.payloadInJob() == r.payload().isEmpty());
+    }
+
+    // Guards against one job that stops all others: its row of progress grew with its tasks beyond what the store
+    // takes.
+    @Test
+    void storesAndRestoresTheProgressOfAJobOfManyTasks() throws Exception {
+        for (int i = 1; i <= 8; i++) {
+            putWorker("w" + i);
+        }
+        StepSpec step = StepSpec.builder(3_000, new Resources(10, 10, 0)).build();
+        putJob("large", 1, "team", step, "payload");
+        load();
+        term.step();
+        long placed = countRuns();
+
+        load();
+        term.step();
+
+        assertThat(placed).isEqualTo(3_000);
+        assertThat(countRuns()).isEqualTo(placed);
+        assertThat(storedOrders(WORKERS)).allMatch(o -> o.stops().isEmpty());
+    }
+
+    private long countRuns() {
+        return storedOrders(WORKERS).stream().mapToLong(o -> o.runs().size()).sum();
+    }
+
+    private String randomText(int length) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < length; i++) {
+            text.append((char) (' ' + random.nextInt(90)));
+        }
+        return text.toString();
+    }
+
     private boolean heartbeatStored() {
         return store.get(Tables.LEADER, Tables.BEAT).join().isPresent();
     }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
@@ -12,6 +12,9 @@
 
 /** A store in memory that can refuse writes; changes are read, never waited for. */
 public final class MemoryStore implements StateStore {
+    /** Bytes that the value of a row may have. */
+    public static final int MAX_ROW_BYTES = 49_152;
+
     private final TreeMap<String, StoredRow> rows = new TreeMap<>();
     private long version;
     private ResultCode failure;
@@ -45,6 +48,11 @@
         rows.put(table + '/' + key, new StoredRow(key, ++version, value));
     }
 
+    @Override
+    public int maxRowBytes() {
+        return MAX_ROW_BYTES;
+    }
+
     @Override
     public synchronized CompletableFuture<Optional<StoredRow>> get(String table, String key) {
         if (silent) {
@@ -88,6 +96,11 @@
                 return CompletableFuture.failedFuture(new PollenreachException(ResultCode.CONFLICT, c.key()));
             }
         }
+        if (tx.writes().stream().anyMatch(w -> w.value().length > MAX_ROW_BYTES)
+                || tx.bytes() > MAX_BYTES
+                || tx.size() > MAX_ENTRIES) {
+            return CompletableFuture.failedFuture(new PollenreachException(ResultCode.TOO_LARGE, "a row or all rows"));
+        }
         version++;
         tx.writes().forEach(w -> rows.put(w.table() + '/' + w.key(), new StoredRow(w.key(), version, w.value())));
         tx.removals().forEach(r -> rows.remove(r.table() + '/' + r.key()));
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/FillerPacerTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/FillerPacerTest.java
@@ -14,8 +14,8 @@
 class FillerPacerTest {
     private static final TaskRun SERVING = new TaskRun(TaskId.of("serving.0.0.0"), 1);
     private static final TaskRun FILLER = new TaskRun(TaskId.of("filler.0.0.0"), 1);
-    private static final List<OrderedRun> RUNS =
-            List.of(new OrderedRun(SERVING, "", "", "", 100, false), new OrderedRun(FILLER, "", "", "", 0, true));
+    private static final List<OrderedRun> RUNS = List.of(
+            new OrderedRun(SERVING, "", "", "", 100, false, false), new OrderedRun(FILLER, "", "", "", 0, true, false));
 
     private final FillerPacer pacer = new FillerPacer(0);
     private final List<Integer> told = new ArrayList<>();
