Leave out a job whose progress cannot be read

Cause: Term.loadJobs dropped unreadable rows before it looked for jobs without progress.

Change: unreadable rows stay known, and a job with one of them is left out and logged (row-rejected); the others hold.

Evidence: TermTest leavesOutAJobWhoseProgressCannotBeRead failed before, since job a was placed, and passes now.

--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -47,7 +47,8 @@
     }
 
     /**
-     * Restores the progress of a job from its stored rows, by their keys; fails if the first one is not among them.
+     * Restores the progress of a job from its stored rows, by their keys; fails if one is null because it could not be
+     * read, or if the first one is not among them.
      *
      * <p>Rows of an earlier version may hold more tasks than one row does now.
      */
@@ -56,9 +57,8 @@
         progress.phase = RequiredField.of(rowsByKey.get(job.id()), "the first row of progress")
                 .phase();
         progress.endedMs = nowMs;
-        for (ProgressRow row : rowsByKey.values()) {
-            row.tasks().forEach(t -> progress.restoreTask(t, nowMs));
-        }
+        rowsByKey.forEach((key, row) -> RequiredField.of(row, key));
+        rowsByKey.values().forEach(row -> row.tasks().forEach(t -> progress.restoreTask(t, nowMs)));
         return progress;
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -175,11 +175,10 @@
 
     private void loadJobs(Rows jobs, Rows progress, long nowMs) {
         Map<String, Map<String, ProgressRow>> progressByJob = new HashMap<>();
-        for (StoredRow r : progress.rows()) {
-            RowCodec.fromRow(r, ProgressRow.class).ifPresent(p -> progressByJob
-                    .computeIfAbsent(ProgressRow.jobOf(r.key()), id -> new HashMap<>())
-                    .put(r.key(), p));
-        }
+        // A row that cannot be read stays as null: without it a job would count as new, and run again.
+        progress.rows().forEach(r -> progressByJob
+                .computeIfAbsent(ProgressRow.jobOf(r.key()), id -> new HashMap<>())
+                .put(r.key(), RowCodec.fromRow(r, ProgressRow.class).orElse(null)));
         for (StoredRow row : jobs.rows()) {
             RowCodec.fromRow(row, BatchJob.class).ifPresent(job -> {
                 Map<String, ProgressRow> rowsByKey = progressByJob.get(job.id());
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -1,5 +1,6 @@
 package io.pollenreach.daemon.internal.scheduler;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,8 @@
 import io.pollenreach.daemon.internal.store.RowCodec;
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.JobPhase;
+import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.Resources;
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.StepSpec;
@@ -247,6 +250,26 @@
         assertThat(storedOrders(WORKERS)).allMatch(o -> o.stops().isEmpty());
     }
 
+    // Guards against a second run of a whole job: one whose progress could not be read counted as a new job.
+    @Test
+    void leavesOutAJobWhoseProgressCannotBeRead() throws Exception {
+        putWorker("w1");
+        putJob("a", 1, "team", 1, 1);
+        putJob("b", 1, "team", 1, 1);
+        putJob("c", 1, "team", 1, 1);
+        byte[] unreadable = "no progress".getBytes(StandardCharsets.UTF_8);
+        store.put(Tables.PROGRESS, "a", unreadable);
+        store.put(Tables.PROGRESS, "c", RowCodec.toValue(new ProgressRow(JobPhase.RUNNING, List.of())));
+        store.put(Tables.PROGRESS, "c~1", unreadable);
+        load();
+
+        term.step();
+
+        assertThat(storedOrders("w1").get(0).runs())
+                .extracting(r -> r.run().task().job())
+                .containsExactly("b");
+    }
+
     private long countRuns() {
         return storedOrders(WORKERS).stream().mapToLong(o -> o.runs().size()).sum();
     }
