Register a worker process only when it answers in person

Cause: an agent took a heartbeat of a process it did not know for its worker's successor, gave the worker up and registered the stranger, which the scheduler took for the end of the worker's runs. A heartbeat of another writer with a later time of birth did this, and a late one of an earlier worker that came to a restarted agent before it had read its own row.

Change: an agent first reads which worker it had, and then asks the process at the worker's address, under the name and birth of the heartbeat, before it gives its worker up (WorkerIdentification). Orders, polls and their answers name the process by its birth as well; once another one has answered, nothing is started and no lease is extended.

The users' own runs could not be replayed here.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -94,6 +94,7 @@
     private long sequence;
     private long lateStartsMs;
     private EmulatedAdvisor advisor;
+    private volatile boolean silent;
 
     /**
      * Starts a worker that announces itself to its agent.
@@ -127,12 +128,20 @@
         lateStartsMs = afterMs;
     }
 
+    /** Sends no heartbeats, or sends them again. */
+    public void setSilent(boolean on) {
+        silent = on;
+    }
+
     /** Lets the worker start only tasks whose order carries a ticket of an advisor. */
     public synchronized void requireTickets(EmulatedAdvisor of) {
         advisor = of;
     }
 
     private void announce() {
+        if (silent) {
+            return;
+        }
         ObjectNode n = JsonNodeFactory.instance.objectNode();
         n.put("service", "pool")
                 .put("address", "127.0.0.1:" + port())
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -111,12 +111,12 @@
         this.schedulerState = schedulerState;
         this.nowMs = nowMs;
         this.wallMs = wallMs;
-        freeCapacity = new FreeCapacity(schedulerState.workers(), WorkerAllocations::free);
+        freeCapacity = new FreeCapacity(schedulerState.workers().all(), WorkerAllocations::free);
         capacityAfterRelease =
-                new FreeCapacity(schedulerState.workers(), w -> w.report().capacity());
+                new FreeCapacity(schedulerState.workers().all(), w -> w.report().capacity());
         forecast = new Forecast(schedulerState.jobs(), nowMs);
         reclaim = new Reclaim(schedulerState.jobs(), freeCapacity, nowMs);
-        tasksHoldingResources = schedulerState.workers().stream()
+        tasksHoldingResources = schedulerState.workers().all().stream()
                 .flatMap(WorkerAllocations::heldTasks)
                 .collect(Collectors.toSet());
     }
@@ -279,7 +279,7 @@
     }
 
     private List<WorkerAllocations> findSuitable(Requirement requirement) {
-        return schedulerState.workers().stream()
+        return schedulerState.workers().all().stream()
                 .filter(w -> w.report().pool().equals(requirement.pool()))
                 .filter(w -> !w.report().lost() && w.report().takesTasks())
                 .filter(w -> nowMs - w.reportedMs() <= MAX_REPORT_AGE_MS)
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * The in-memory state of the leading scheduler: jobs, workers, and the changes that are not stored yet.
@@ -42,7 +41,7 @@
 
     private final DecisionLog log;
     private final JobTable jobs = new JobTable();
-    private final Map<String, WorkerAllocations> workers = new TreeMap<>();
+    private final WorkerTable workers = new WorkerTable();
     private final Set<String> cancelled = new HashSet<>();
     private final Set<String> changedJobs = new LinkedHashSet<>();
     private final Set<String> changedWorkers = new LinkedHashSet<>();
@@ -97,7 +96,7 @@
             WorkerReport report, long reportVersion, WorkerOrders orders, long ordersVersion, long reportedMs) {
         WorkerAllocations worker = new WorkerAllocations(report, reportVersion, reportedMs);
         worker.restore(orders, ordersVersion, this::occupied, reportedMs);
-        workers.put(worker.name(), worker);
+        workers.add(worker);
         applyReport(worker, report, reportVersion, reportedMs);
     }
 
@@ -167,7 +166,7 @@
         }
         if (w == null) {
             w = new WorkerAllocations(report, version, nowMs);
-            workers.put(w.name(), w);
+            workers.add(w);
             changedWorkers.add(w.name());
             log.logDecision(
                     "worker-joined", "worker", w.name(), "incarnation", report.incarnation(), "pool", report.pool());
@@ -370,36 +369,9 @@
         requeueWithGang(job, t, nowMs);
     }
 
-    /**
-     * Returns the last reports of the workers that have not reported for longer than a time, in milliseconds. Leaves
-     * out workers already marked as lost and agents without a worker.
-     */
-    public List<WorkerReport> unresponsiveFor(long timeoutMs, long nowMs) {
-        return workers.values().stream()
-                .filter(w -> !w.report().lost() && !w.report().instance().isEmpty())
-                .filter(w -> nowMs - w.reportedMs() > timeoutMs)
-                .map(WorkerAllocations::report)
-                .toList();
-    }
-
-    /** Tells whether any known worker is among the given platform instances. */
-    public boolean knowsAny(Set<String> instances) {
-        return workers.values().stream()
-                .anyMatch(w -> instances.contains(w.report().instance()));
-    }
-
-    /** Tells whether runs may occupy the process that an agent has registered as its worker, not one before it. */
-    public boolean holdsRuns(String agent) {
-        WorkerAllocations w = workers.get(agent);
-        return w != null
-                && w.sameIncarnation(w.report())
-                && w.heldTasks().findAny().isPresent();
-    }
-
-    /** Returns the store's version of an agent's newest report; 0 if there is none. */
-    public long reportVersion(String agent) {
-        WorkerAllocations w = workers.get(agent);
-        return w == null ? 0 : w.reportVersion();
+    /** Returns the workers. */
+    public WorkerTable workers() {
+        return workers;
     }
 
     /** Tells whether a pass may decide otherwise than the last one did, even if no time had passed since. */
@@ -439,10 +411,6 @@
         return jobs.active();
     }
 
-    Collection<WorkerAllocations> workers() {
-        return workers.values();
-    }
-
     int guarantee(String workspace) {
         return guarantees.getOrDefault(workspace, 0);
     }
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerTable.java
@@ -0,0 +1,62 @@
+package io.pollenreach.internal.batch;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The workers that a scheduler knows, by the names of their agents.
+ *
+ * <p>Invariant: a worker is never removed, only marked as lost. Not thread-safe: confined to the scheduler's thread.
+ */
+public final class WorkerTable {
+    private final Map<String, WorkerAllocations> byAgent = new TreeMap<>();
+
+    void add(WorkerAllocations worker) {
+        byAgent.put(worker.name(), worker);
+    }
+
+    /** Returns a worker; null for one that is not known. */
+    WorkerAllocations get(String agent) {
+        return byAgent.get(agent);
+    }
+
+    Collection<WorkerAllocations> all() {
+        return Collections.unmodifiableCollection(byAgent.values());
+    }
+
+    /**
+     * Returns the last reports of the workers that have not reported for longer than a time, in milliseconds. Leaves
+     * out workers already marked as lost and agents without a worker.
+     */
+    public List<WorkerReport> unresponsiveFor(long timeoutMs, long nowMs) {
+        return byAgent.values().stream()
+                .filter(w -> !w.report().lost() && !w.report().instance().isEmpty())
+                .filter(w -> nowMs - w.reportedMs() > timeoutMs)
+                .map(WorkerAllocations::report)
+                .toList();
+    }
+
+    /** Tells whether any known worker is among the given platform instances. */
+    public boolean knowsAny(Set<String> instances) {
+        return byAgent.values().stream()
+                .anyMatch(w -> instances.contains(w.report().instance()));
+    }
+
+    /** Tells whether runs may occupy the process that an agent has registered as its worker, not one before it. */
+    public boolean holdsRuns(String agent) {
+        WorkerAllocations w = byAgent.get(agent);
+        return w != null
+                && w.sameIncarnation(w.report())
+                && w.heldTasks().findAny().isPresent();
+    }
+
+    /** Returns the store's version of an agent's newest report; 0 if there is none. */
+    public long reportVersion(String agent) {
+        WorkerAllocations w = byAgent.get(agent);
+        return w == null ? 0 : w.reportVersion();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
@@ -0,0 +1,93 @@
+package io.pollenreach.internal.batch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** What becomes of tasks when workers restart and leaders change. */
+class RecoveryTest {
+    private final SchedulerFixture fixture = new SchedulerFixture();
+
+    // Guards against two runs at once: a worker that restarted under its name carries out orders that its agent had
+    // repeated to the process before it, and their tasks were placed elsewhere as soon as the agent had registered it.
+    @Test
+    void placesTheTasksOfARestartedWorkerOnlyAfterItHasStoppedTheirRuns() {
+        TaskRun first = new TaskRun(TaskId.of("a.0.0.0"), 1);
+        fixture.worker("w1", "r1");
+        fixture.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+        fixture.worker("w2", "r1");
+
+        fixture.restart("w1", List.of());
+        assertThat(fixture.orders("w2").runs()).isEmpty();
+        fixture.listRuns("w1", first);
+        assertThat(fixture.orders("w1").stops()).containsExactly(first);
+        assertThat(fixture.orders("w2").runs()).isEmpty();
+        fixture.end("w1", 1, "a.0.0.0", 1, EndKind.STOPPED);
+
+        assertThat(runNumbers()).containsExactly(2);
+    }
+
+    @Test
+    void placesTheTasksOfARestartedWorkerThatRunsNothing() {
+        fixture.worker("w1", "r1");
+        fixture.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+
+        fixture.restart("w1", List.of());
+        fixture.listRuns("w1");
+
+        assertThat(runNumbers()).containsExactly(2);
+    }
+
+    // Guards against two runs at once: an agent registered a process that was not its worker, and gave it up again.
+    @Test
+    void keepsTheRunsOfAWorkerWhoseAgentRegisteredAnotherProcessThatNeverListedItsRuns() {
+        fixture.worker("w1", "r1");
+        fixture.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+        fixture.worker("w2", "r1");
+
+        fixture.restart("w1", List.of());
+        SchedulerFixture next = fixture.successor();
+        next.restart("w1", List.of());
+
+        assertThat(next.orders("w2").runs()).isEmpty();
+        assertThat(next.orders("w1").runs()).hasSize(1);
+    }
+
+    private List<Integer> runNumbers() {
+        return Stream.of("w1", "w2")
+                .flatMap(w -> fixture.orders(w).runs().stream())
+                .map(r -> r.run().run())
+                .toList();
+    }
+
+    // Guards against losing an occurrence for good: progress is stored of placed tasks alone, so a new scheduler knew
+    // of
+    // the second occurrence but not of the first, which waited for its only permitted worker.
+    @Test
+    void restoresAnOccurrenceThatWasNotPlacedBeforeALaterOne() {
+        fixture.worker("w1", "r1");
+        fixture.worker("w2", "r1");
+        fixture.submit(Jobs.job("a")
+                .advised()
+                .recurring(2, SchedulerFixture.WALL_MS, 0)
+                .step(Jobs.step(1, 1)));
+        AdviceCache.Query later = fixture.state().advice().pollQueries().stream()
+                .filter(q -> q.step().occurrence() == 1)
+                .findFirst()
+                .orElseThrow();
+        fixture.state().advice().recordAdvice(later, Map.of("w2", "ticket"), 1_000, 0);
+        fixture.runPass(10);
+        fixture.end("w2", 1, "a.1.0.0", 1, EndKind.DONE);
+
+        SchedulerFixture next = fixture.successor();
+
+        assertThat(next.state().advice().pollQueries())
+                .extracting(q -> q.step().occurrence())
+                .containsExactly(0);
+        assertThat(next.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
+    }
+}
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -123,7 +123,7 @@
 
     /** Applies the newest report again and returns the resulting changes. */
     SchedulerState.Changes repeatReport(String worker) {
-        state.report(reports.get(worker), state.reportVersion(worker), nowMs);
+        state.report(reports.get(worker), state.workers().reportVersion(worker), nowMs);
         return state.changes();
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/log/Events.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/log/Events.java
@@ -3,6 +3,8 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 
+import io.pollenreach.PollenreachException;
+
 /**
  * Writes events to {@code System.Logger}, one line of key=value pairs each.
  *
@@ -35,6 +37,11 @@
         write(Level.WARNING, event, keysAndValues);
     }
 
+    /** Writes the failure of a call that was about something, with the failure's code and message. */
+    public void failure(String event, String key, Object value, PollenreachException e) {
+        warn(event, key, value, "code", e.code().number(), "error", e.getMessage());
+    }
+
     /** Writes an event that matters only to developers. */
     public void debug(String event, Object... keysAndValues) {
         write(Level.DEBUG, event, keysAndValues);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LostWorkerDetector.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LostWorkerDetector.java
@@ -8,8 +8,8 @@
 
 import io.pollenreach.PollenreachException;
 import io.pollenreach.daemon.internal.log.Events;
-import io.pollenreach.internal.batch.SchedulerState;
 import io.pollenreach.internal.batch.WorkerReport;
+import io.pollenreach.internal.batch.WorkerTable;
 
 /**
  * Finds lost workers: those on which no run can still be active.
@@ -52,15 +52,15 @@
     /** Unresponsive workers, and the registry's pending response about them. Immutable. */
     private record RegistryQuery(List<WorkerReport> suspects, CompletableFuture<Set<String>> existing) {}
 
-    private final SchedulerState state;
+    private final WorkerTable workers;
     private final WorkerRegistry registry;
     private final long lostAfterMs;
     private long lastQueryMs;
     /** The query in flight; null for none. */
     private RegistryQuery pendingQuery;
 
-    LostWorkerDetector(SchedulerState state, WorkerRegistry registry, long leaseMs) {
-        this.state = state;
+    LostWorkerDetector(WorkerTable workers, WorkerRegistry registry, long leaseMs) {
+        this.workers = workers;
         this.registry = registry;
         lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_MARGIN_MS;
     }
@@ -73,7 +73,7 @@
     List<Loss> find(LongPredicate storeAvailableFor, long nowMs) {
         List<Loss> found = new ArrayList<>();
         if (storeAvailableFor.test(REPORT_GRACE_PERIOD_MS)) {
-            state.unresponsiveFor(lostAfterMs, nowMs).forEach(r -> found.add(new Loss(r, "silent")));
+            workers.unresponsiveFor(lostAfterMs, nowMs).forEach(r -> found.add(new Loss(r, "silent")));
         }
         if (pendingQuery != null && pendingQuery.existing().isDone()) {
             findUnregistered(nowMs).stream()
@@ -91,8 +91,8 @@
     }
 
     private void queryRegistry(long nowMs) {
-        List<WorkerReport> suspects = state.unresponsiveFor(SUSPECT_TIMEOUT_MS, nowMs).stream()
-                .filter(r -> state.holdsRuns(r.agent()))
+        List<WorkerReport> suspects = workers.unresponsiveFor(SUSPECT_TIMEOUT_MS, nowMs).stream()
+                .filter(r -> workers.holdsRuns(r.agent()))
                 .toList();
         if (!suspects.isEmpty()) {
             lastQueryMs = nowMs;
@@ -109,7 +109,7 @@
             EVENTS.warn("registry-silent", "code", failure.code().number(), "error", failure.getMessage());
             return List.of();
         }
-        if (!state.knowsAny(existing)) {
+        if (!workers.knowsAny(existing)) {
             EVENTS.warn(
                     "registry-distrusted",
                     "named",
@@ -119,7 +119,7 @@
             return List.of();
         }
         // A worker may have reported again since the query was sent.
-        List<WorkerReport> stillUnresponsive = state.unresponsiveFor(SUSPECT_TIMEOUT_MS, nowMs);
+        List<WorkerReport> stillUnresponsive = workers.unresponsiveFor(SUSPECT_TIMEOUT_MS, nowMs);
         return pendingQuery.suspects().stream()
                 .filter(s -> stillUnresponsive.contains(s) && !existing.contains(s.instance()))
                 .map(s -> new Loss(s, "unregistered"))
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -92,7 +92,7 @@
         advisor = context.advisor();
         clock = context.clock();
         state = new SchedulerState(log);
-        lostWorkerDetector = new LostWorkerDetector(state, context.registry(), context.leaseMs());
+        lostWorkerDetector = new LostWorkerDetector(state.workers(), context.registry(), context.leaseMs());
         lastExpiryMs = clock.nowMs();
     }
 
@@ -328,7 +328,7 @@
 
     private void declareLost(WorkerReport report, String reason, long nowMs) throws InterruptedException {
         WorkerReport lost = report.withLostMark();
-        long reportVersion = state.reportVersion(report.agent());
+        long reportVersion = state.workers().reportVersion(report.agent());
         Transaction tx = newTermTransaction()
                 .expect(Tables.WORKERS, report.agent(), reportVersion)
                 .write(Tables.WORKERS, report.agent(), RowCodec.toValue(lost));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -38,9 +38,6 @@
     /** The same while a report is overdue, in milliseconds, so that the lease is extended as soon as it may be. */
     private static final long SHORT_POLL_WAIT_MS = 80;
 
-    /** The shortest lease with which an order to start is worth sending, in milliseconds. */
-    private static final long MIN_LEASE_MS = 500;
-
     /** Pause between polls while ends wait to be stored, in milliseconds; a report takes some ten. */
     private static final long UNSTORED_POLL_MS = 25;
 
@@ -57,12 +54,15 @@
     private final String name;
     private final StateStore store;
     private final Claims claims;
-    private final JobPayloads payloads;
     private final TaskRunner runner;
     private final Clock clock;
     private final Reporter reporter;
     private final ScheduledThreadPoolExecutor thread;
+    private final WorkerIdentification identification;
+    private final OrderSender orders;
+    /** What the worker says of itself; null while no worker is known. */
     private WorkerInfo facts;
+
     private Incarnation incarnation;
     private boolean claiming;
     private volatile boolean closed;
@@ -80,7 +80,6 @@
         this.name = name;
         this.store = store;
         claims = new Claims(name, store, clock);
-        payloads = new JobPayloads(store);
         this.runner = runner;
         this.clock = clock;
         thread = new ScheduledThreadPoolExecutor(1, r -> {
@@ -89,7 +88,10 @@
             return t;
         });
         thread.setRemoveOnCancelPolicy(true);
-        reporter = new Reporter(name, claims, clock, leaseMs, new Host());
+        AgentContext context = new Context();
+        reporter = new Reporter(name, claims, clock, leaseMs, context);
+        orders = new OrderSender(runner, new JobPayloads(store), clock, reporter, context);
+        identification = new WorkerIdentification(runner, context, this::identified);
     }
 
     /** Starts, and goes on with the worker that an earlier process of this agent looked after. */
@@ -103,7 +105,7 @@
     }
 
     private void resumeWith(Optional<StoredRow> row, Throwable t) {
-        if (facts != null || closed) {
+        if (closed) {
             return;
         }
         if (t != null) {
@@ -114,6 +116,7 @@
             facts = WorkerInfo.of(r);
             claim();
         });
+        identification.start(row.map(StoredRow::version).orElse(0L)).ifPresent(this::take);
     }
 
     /** Takes a worker's heartbeat. */
@@ -139,8 +142,12 @@
             EVENTS.info("stale-heartbeat", "instance", sent.instance(), "born", sent.bornMs(), "known", facts.bornMs());
             return;
         }
-        EVENTS.info("worker-found", "worker", sent);
-        facts = sent;
+        identification.announce(sent);
+    }
+
+    private void identified(WorkerInfo worker) {
+        EVENTS.info("worker-found", "worker", worker);
+        facts = worker;
         claim();
     }
 
@@ -169,7 +176,7 @@
                             claiming = false;
                             if (t != null) {
                                 PollenreachException e = PollenreachException.of(t);
-                                warn("claim-failed", "instance", worker.instance(), e);
+                                EVENTS.failure("claim-failed", "instance", worker.instance(), e);
                                 later(this::claim);
                             } else if (!worker.sameProcess(facts)) {
                                 claim();
@@ -189,6 +196,7 @@
 
     private void begin(Incarnation claimed) {
         incarnation = claimed;
+        identification.setToken(claimed.token);
         TableWatch.Listener listener = new TableWatch.Listener() {
             @Override
             public void snapshot(Rows rows) {
@@ -222,18 +230,18 @@
             // The scheduler knows this incarnation, so it has taken what earlier incarnations left.
             inc.formerEnds = List.of();
         }
-        WorkerOrders orders = written.incarnation().equals(inc.id) ? written : WorkerOrders.none(inc.id);
+        WorkerOrders taken = written.incarnation().equals(inc.id) ? written : WorkerOrders.none(inc.id);
         boolean first = inc.ordersSeen == 0;
         inc.ordersSeen = row.map(StoredRow::version).orElse(1L);
-        boolean changed = inc.runs.take(orders);
+        boolean changed = inc.runs.take(taken);
         if (first) {
             poll(inc);
         }
-        if (!orders.stops().isEmpty()) {
+        if (!taken.stops().isEmpty()) {
             inc.reportSoon = true;
         }
         if (changed) {
-            act(inc);
+            orders.send(inc);
         }
         reporter.reportWhenDue(inc);
     }
@@ -249,7 +257,8 @@
         inc.polling = true;
         long sentMs = clock.nowMs();
         long waitMs = inc.settled ? pollWaitMs(inc) : 0;
-        OptionalLong until = inc.leaseUntilMs > 0 ? OptionalLong.of(inc.leaseUntilMs) : OptionalLong.empty();
+        boolean extendsLease = inc.leaseUntilMs > 0 && !inc.replaced;
+        OptionalLong until = extendsLease ? OptionalLong.of(inc.leaseUntilMs) : OptionalLong.empty();
         runner.poll(inc.authority(), inc.endsStored, until, waitMs)
                 .whenCompleteAsync((v, t) -> guarded(() -> polled(inc, v, t, sentMs)), thread);
     }
@@ -270,16 +279,7 @@
             pollFailed(inc, PollenreachException.of(t));
             return;
         }
-        if (view.bornMs().isPresent() && view.bornMs().get() != inc.worker.bornMs()) {
-            EVENTS.info(
-                    "worker-reborn",
-                    "incarnation",
-                    inc.id,
-                    "born",
-                    view.bornMs().get());
-            later(() -> poll(inc));
-            return;
-        }
+        inc.replaced = false;
         inc.polledMs = clock.nowMs();
         inc.runnerClockMs = view.clockMs();
         if (inc.runs.take(view, sentMs)) {
@@ -290,7 +290,7 @@
             inc.reportSoon = true;
         }
         reporter.reportWhenDue(inc);
-        act(inc);
+        orders.send(inc);
         inc.fillers.adjust(inc.runs.atWork(), view.loads(), inc.polledMs, (run, percent, failed) -> {
             runner.pace(inc.authority(), run, percent)
                     .whenCompleteAsync((v, e) -> guarded(() -> paced(run, percent, failed, e)), thread);
@@ -311,115 +311,22 @@
     }
 
     private void pollFailed(Incarnation inc, PollenreachException e) {
-        warn("poll-failed", "instance", inc.worker.instance(), e);
+        EVENTS.failure("poll-failed", "instance", inc.worker.instance(), e);
         if (e.code() == ResultCode.STALE_ATTEMPT) {
             claim();
             return;
         }
+        inc.noteFailure(e);
         later(() -> poll(inc));
     }
 
-    private void act(Incarnation inc) {
-        long nowMs = clock.nowMs();
-        for (TaskRun run : inc.runs.toStop(nowMs)) {
-            runner.stop(inc.authority(), run).whenCompleteAsync((v, t) -> guarded(() -> stopped(inc, run, t)), thread);
-        }
-        if (inc.leaseUntilMs - inc.runnerClockMs - (nowMs - inc.polledMs) < MIN_LEASE_MS) {
-            return;
-        }
-        for (WorkerOrders.OrderedRun order : inc.runs.toStart(nowMs)) {
-            if (facts.draining()) {
-                inc.runs.abandon(order.run());
-                inc.reportSoon = true;
-                continue;
-            }
-            if (order.payloadInJob()) {
-                payloads.read(order)
-                        .whenCompleteAsync((o, t) -> guarded(() -> payloadRead(inc, order.run(), o, t)), thread);
-            } else {
-                start(inc, order);
-            }
-        }
-    }
-
-    private void payloadRead(Incarnation inc, TaskRun run, WorkerOrders.OrderedRun order, Throwable t) {
-        if (inc != incarnation) {
-            return;
-        }
-        if (t == null) {
-            start(inc, order);
-            return;
-        }
-        PollenreachException e = PollenreachException.of(t);
-        warn("payload-unread", "run", run, e);
-        if (e.code() == ResultCode.NOT_FOUND) {
-            inc.runs.abandon(run);
-            inc.reportSoon = true;
-        } else {
-            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
-        }
-    }
-
-    private void start(Incarnation inc, WorkerOrders.OrderedRun order) {
-        runner.start(inc.authority(), order, inc.leaseUntilMs)
-                .whenCompleteAsync((o, t) -> guarded(() -> started(inc, order.run(), o, t)), thread);
-    }
-
-    private void started(Incarnation inc, TaskRun run, TaskRunner.StartOutcome outcome, Throwable t) {
-        if (inc != incarnation) {
-            return;
-        }
-        if (t != null) {
-            PollenreachException e = PollenreachException.of(t);
-            warn("start-unanswered", "run", run, e);
-            if (e.code() == ResultCode.STALE_ATTEMPT) {
-                claim();
-                return;
-            }
-            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
-            return;
-        }
-        EVENTS.info("start-answered", "task", run.task(), "run", run.run(), "outcome", outcome);
-        switch (outcome) {
-                // An end that the worker has yet to list tells how a run that is over went.
-            case STARTED, OVER -> inc.runs.started(run);
-            case LEASE_OVER -> {
-                inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
-                inc.reportSoon = true;
-            }
-            default -> {
-                inc.runs.abandon(run);
-                inc.reportSoon = true;
-            }
-        }
-        reporter.reportWhenDue(inc);
-    }
-
-    private void stopped(Incarnation inc, TaskRun run, Throwable t) {
-        if (inc != incarnation) {
-            return;
-        }
-        if (t == null) {
-            EVENTS.info("stop-answered", "task", run.task(), "run", run.run());
-            inc.runs.stopped(run, clock.nowMs());
-            return;
-        }
-        PollenreachException e = PollenreachException.of(t);
-        warn("stop-unanswered", "run", run, e);
-        if (e.code() == ResultCode.STALE_ATTEMPT) {
-            claim();
-            return;
-        }
-        inc.runs.stopFailed(run, clock.nowMs() + RETRY_MS);
-    }
-
     private void tick() {
         Incarnation inc = incarnation;
         if (inc == null) {
             return;
         }
         if (inc.runs.waitsToSend()) {
-            act(inc);
+            orders.send(inc);
         }
         reporter.reportWhenDue(inc);
     }
@@ -431,10 +338,6 @@
         }
     }
 
-    private static void warn(String event, String key, Object value, PollenreachException e) {
-        EVENTS.warn(event, key, value, "code", e.code().number(), "error", e.getMessage());
-    }
-
     private void later(Runnable work) {
         if (!closed) {
             thread.schedule(() -> guarded(work), RETRY_MS, TimeUnit.MILLISECONDS);
@@ -449,8 +352,7 @@
         }
     }
 
-    /** What the reporter needs of this agent. */
-    private final class Host implements Reporter.Host {
+    private final class Context implements AgentContext {
         @Override
         public boolean isCurrent(Incarnation inc) {
             return inc == incarnation && !closed;
@@ -463,7 +365,7 @@
 
         @Override
         public void stored(Incarnation inc) {
-            act(inc);
+            orders.send(inc);
         }
 
         @Override
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.store.TableWatch;
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.WorkerReport;
@@ -12,6 +15,8 @@
  * <p>Not safe for use by many threads: the agent's thread owns it.
  */
 final class Incarnation {
+    private static final Events EVENTS = Events.of(Incarnation.class);
+
     final WorkerInfo worker;
     final String id;
     final long token;
@@ -29,6 +34,9 @@
     /** Whether the worker runs nothing that this agent does not account for. */
     boolean settled;
 
+    /** Whether another process answered at the worker's address, so that this one has ended. */
+    boolean replaced;
+
     boolean polling;
     boolean reporting;
     boolean reportSoon = true;
@@ -56,7 +64,15 @@
     }
 
     TaskRunner.Authority authority() {
-        return new TaskRunner.Authority(worker.instance(), token);
+        return new TaskRunner.Authority(worker.instance(), worker.bornMs(), token);
+    }
+
+    /** Records that a call failed; none of those that come after reaches this process once another one has answered. */
+    void noteFailure(PollenreachException e) {
+        if (e.code() == ResultCode.NOT_FOUND && !replaced) {
+            replaced = true;
+            EVENTS.info("worker-replaced", "incarnation", id);
+        }
     }
 
     /** Tells whether the worker process has ended and none has followed. */
--- /dev/null
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/OrderSender.java
@@ -0,0 +1,130 @@
+package io.pollenreach.daemon.internal.work;
+
+import io.pollenreach.Clock;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.internal.batch.TaskRun;
+import io.pollenreach.internal.batch.WorkerOrders;
+
+/**
+ * Sends a worker the orders to start and to stop runs.
+ *
+ * <p>Invariants: nothing is started on a draining worker, under a lease that is about to end, or once another process
+ * answered in the worker's place. For use by the agent's thread.
+ */
+final class OrderSender {
+    /** The shortest lease with which an order to start is worth sending, in milliseconds. */
+    private static final long MIN_LEASE_MS = 500;
+
+    private static final long RETRY_MS = 150;
+    private static final Events EVENTS = Events.of(OrderSender.class);
+
+    private final TaskRunner runner;
+    private final JobPayloads payloads;
+    private final Clock clock;
+    private final Reporter reporter;
+    private final AgentContext context;
+
+    OrderSender(TaskRunner runner, JobPayloads payloads, Clock clock, Reporter reporter, AgentContext context) {
+        this.runner = runner;
+        this.payloads = payloads;
+        this.clock = clock;
+        this.reporter = reporter;
+        this.context = context;
+    }
+
+    /** Sends the orders that are due. */
+    void send(Incarnation inc) {
+        long nowMs = clock.nowMs();
+        for (TaskRun run : inc.runs.toStop(nowMs)) {
+            runner.stop(inc.authority(), run).whenComplete((v, t) -> context.execute(() -> stopAnswered(inc, run, t)));
+        }
+        if (inc.replaced || inc.leaseUntilMs - inc.runnerClockMs - (nowMs - inc.polledMs) < MIN_LEASE_MS) {
+            return;
+        }
+        for (WorkerOrders.OrderedRun order : inc.runs.toStart(nowMs)) {
+            if (context.newestFacts().draining()) {
+                abandon(inc, order.run());
+            } else if (order.payloadInJob()) {
+                payloads.read(order).whenComplete((o, t) -> context.execute(() -> payloadRead(inc, order.run(), o, t)));
+            } else {
+                start(inc, order);
+            }
+        }
+    }
+
+    private static void abandon(Incarnation inc, TaskRun run) {
+        inc.runs.abandon(run);
+        inc.reportSoon = true;
+    }
+
+    private void payloadRead(Incarnation inc, TaskRun run, WorkerOrders.OrderedRun order, Throwable t) {
+        if (!context.isCurrent(inc)) {
+            return;
+        }
+        if (t == null) {
+            start(inc, order);
+            return;
+        }
+        PollenreachException e = PollenreachException.of(t);
+        EVENTS.failure("payload-unread", "run", run, e);
+        if (e.code() == ResultCode.NOT_FOUND) {
+            abandon(inc, run);
+        } else {
+            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+        }
+    }
+
+    private void start(Incarnation inc, WorkerOrders.OrderedRun order) {
+        runner.start(inc.authority(), order, inc.leaseUntilMs)
+                .whenComplete((o, t) -> context.execute(() -> startAnswered(inc, order.run(), o, t)));
+    }
+
+    private void startAnswered(Incarnation inc, TaskRun run, TaskRunner.StartOutcome outcome, Throwable t) {
+        if (!context.isCurrent(inc)) {
+            return;
+        }
+        if (t != null) {
+            PollenreachException e = PollenreachException.of(t);
+            EVENTS.failure("start-unanswered", "run", run, e);
+            if (e.code() == ResultCode.STALE_ATTEMPT) {
+                context.claimLost();
+                return;
+            }
+            inc.noteFailure(e);
+            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+            return;
+        }
+        EVENTS.info("start-answered", "task", run.task(), "run", run.run(), "outcome", outcome);
+        switch (outcome) {
+                // An end that the worker has yet to list tells how a run that is over went.
+            case STARTED, OVER -> inc.runs.started(run);
+            case LEASE_OVER -> {
+                inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+                inc.reportSoon = true;
+            }
+            default -> abandon(inc, run);
+        }
+        reporter.reportWhenDue(inc);
+    }
+
+    private void stopAnswered(Incarnation inc, TaskRun run, Throwable t) {
+        if (!context.isCurrent(inc)) {
+            return;
+        }
+        if (t == null) {
+            EVENTS.info("stop-answered", "task", run.task(), "run", run.run());
+            inc.runs.stopped(run, clock.nowMs());
+            return;
+        }
+        PollenreachException e = PollenreachException.of(t);
+        EVENTS.failure("stop-unanswered", "run", run, e);
+        if (e.code() == ResultCode.STALE_ATTEMPT) {
+            context.claimLost();
+            return;
+        }
+        inc.noteFailure(e);
+        inc.runs.stopFailed(run, clock.nowMs() + RETRY_MS);
+    }
+}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
@@ -19,27 +19,6 @@
  * reported. For use by the agent's thread.
  */
 final class Reporter {
-    /** What a reporter needs of its agent. */
-    interface Host {
-        /** Tells whether an incarnation is the one that the agent speaks for. */
-        boolean isCurrent(Incarnation incarnation);
-
-        /** Returns the newest heartbeat of the worker. */
-        WorkerInfo newestFacts();
-
-        /** Takes the news that a report was stored. */
-        void stored(Incarnation incarnation);
-
-        /** Takes the news that somebody else has written the worker's row. */
-        void claimLost();
-
-        /** Runs something on the agent's thread. */
-        void execute(Runnable work);
-
-        /** Runs something on the agent's thread a little later. */
-        void later(Runnable work);
-    }
-
     /** Longest pause between reports, in milliseconds: a worker must outlast a store that is away for five seconds. */
     static final long REPORT_MS = 700;
 
@@ -65,14 +44,14 @@
     private final Claims claims;
     private final Clock clock;
     private final long leaseMs;
-    private final Host host;
+    private final AgentContext context;
 
-    Reporter(String agent, Claims claims, Clock clock, long leaseMs, Host host) {
+    Reporter(String agent, Claims claims, Clock clock, long leaseMs, AgentContext context) {
         this.agent = agent;
         this.claims = claims;
         this.clock = clock;
         this.leaseMs = leaseMs;
-        this.host = host;
+        this.context = context;
     }
 
     /** Tells whether a report has been under way for so long that the lease will have to be extended at once. */
@@ -88,22 +67,22 @@
         long periodMs = inc.runs.idle() ? IDLE_REPORT_MS : REPORT_MS;
         boolean due = inc.reportSoon || !left && nowMs - inc.reportedMs >= periodMs;
         boolean held = inc.reporting || nowMs < inc.reportNotBeforeMs;
-        if (held || inc.ordersSeen == 0 || !due || !heardOfWorker || !host.isCurrent(inc)) {
+        if (held || inc.ordersSeen == 0 || !due || !heardOfWorker || !context.isCurrent(inc)) {
             return;
         }
         inc.reporting = true;
         inc.reportSoon = false;
         inc.reportedMs = nowMs;
-        Draft draft = new Draft(inc.nextReport(agent, host.newestFacts()), inc.runnerClockMs, inc.runs.newestEnd());
+        Draft draft = new Draft(inc.nextReport(agent, context.newestFacts()), inc.runnerClockMs, inc.runs.newestEnd());
         claims.write(inc.rowVersion, draft.report(), WRITE_TIMEOUT_MS)
-                .whenComplete((v, t) -> host.execute(() -> sent(inc, draft, v, t)));
+                .whenComplete((v, t) -> context.execute(() -> sent(inc, draft, v, t)));
     }
 
     /** A report, with what may be done once the store has it. Immutable. */
     private record Draft(WorkerReport report, long runnerClockMs, long newestEnd) {}
 
     private void sent(Incarnation inc, Draft draft, Long version, Throwable t) {
-        if (!host.isCurrent(inc)) {
+        if (!context.isCurrent(inc)) {
             return;
         }
         if (t == null) {
@@ -126,7 +105,7 @@
             inc.reportNotBeforeMs = clock.nowMs() + ThreadLocalRandom.current().nextLong(RETRY_MS, 3 * RETRY_MS);
             return;
         }
-        host.later(() -> readBack(inc, draft));
+        context.later(() -> readBack(inc, draft));
     }
 
     private void confirmed(Incarnation inc, Draft draft, long version) {
@@ -134,25 +113,25 @@
         inc.reporting = false;
         inc.leaseUntilMs = Math.max(inc.leaseUntilMs, draft.runnerClockMs() + leaseMs);
         inc.endsStored = Math.max(inc.endsStored, draft.newestEnd());
-        host.stored(inc);
+        context.stored(inc);
         reportWhenDue(inc);
     }
 
     private void readBack(Incarnation inc, Draft draft) {
-        if (!host.isCurrent(inc)) {
+        if (!context.isCurrent(inc)) {
             return;
         }
         claims.stored()
                 .orTimeout(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .whenComplete((row, t) -> host.execute(() -> compare(inc, draft, row, t)));
+                .whenComplete((row, t) -> context.execute(() -> compare(inc, draft, row, t)));
     }
 
     private void compare(Incarnation inc, Draft draft, Optional<StoredRow> row, Throwable t) {
-        if (!host.isCurrent(inc)) {
+        if (!context.isCurrent(inc)) {
             return;
         }
         if (t != null) {
-            host.later(() -> readBack(inc, draft));
+            context.later(() -> readBack(inc, draft));
             return;
         }
         long version = row.map(StoredRow::version).orElse(0L);
@@ -172,6 +151,6 @@
             return;
         }
         EVENTS.warn("claim-lost", "incarnation", inc.id, "lost", stored.map(WorkerReport::lost), "version", version);
-        host.claimLost();
+        context.claimLost();
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
@@ -26,9 +25,10 @@
      * <p>Immutable.
      *
      * @param instance the worker process that is meant; empty for whichever answers
+     * @param bornMs when that process started, in milliseconds since the Unix epoch; 0 when not told
      * @param token the fencing token
      */
-    record Authority(String instance, long token) {}
+    record Authority(String instance, long bornMs, long token) {}
 
     /** What became of an order to start. Immutable. */
     enum StartOutcome {
@@ -50,18 +50,15 @@
      * <p>Immutable.
      *
      * @param clockMs the worker's steady clock when it answered, in milliseconds
-     * @param bornMs when the worker process started, in milliseconds since the Unix epoch; empty when not told
      * @param running what runs
      * @param ends ends above the number up to which they were acknowledged, rising
      * @param loads the tail latency of each serving run over the last half second, in milliseconds; for other runs the
      *     processor time in use
      */
-    record WorkerStatus(
-            long clockMs,
-            Optional<Long> bornMs,
-            List<RunningTask> running,
-            List<RunEnd> ends,
-            Map<TaskRun, Integer> loads) {}
+    record WorkerStatus(long clockMs, List<RunningTask> running, List<RunEnd> ends, Map<TaskRun, Integer> loads) {}
+
+    /** Completes if the process that is meant answers, whatever fencing token it has seen; changes nothing. */
+    CompletableFuture<Void> identify(Authority by);
 
     /** Starts a run; {@code leaseUntilMs} is a time on the worker's clock. */
     CompletableFuture<StartOutcome> start(Authority by, WorkerOrders.OrderedRun run, long leaseUntilMs);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 import io.pollenreach.internal.batch.EndKind;
 import io.pollenreach.internal.batch.RunEnd;
@@ -28,7 +27,7 @@
     }
 
     private void poll(List<RunningTask> running, List<RunEnd> ends, long sentMs) {
-        runs.take(new TaskRunner.WorkerStatus(0, Optional.empty(), running, ends, Map.of()), sentMs);
+        runs.take(new TaskRunner.WorkerStatus(0, running, ends, Map.of()), sentMs);
     }
 
     private static RunningTask running(TaskRun run) {
