Count a leaving worker's runs as ended only when it no longer listens

Cause: BatchAgent.deregistered took the word for the end and registered "no worker".

Change: after its word the worker takes no new tasks and is polled on. Its runs count as ended when a connection to it is refused or another process answers there; a connection that times out shows nothing.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -357,9 +357,14 @@
         return n.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Ends the worker, and with it all that it runs. */
     @Override
     public void close() {
         timers.shutdownNow();
+        synchronized (this) {
+            running.keySet().forEach(record::ended);
+            running.clear();
+        }
         server.close();
         http.close();
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -16,7 +16,6 @@
 import io.pollenreach.daemon.internal.store.StoredRow;
 import io.pollenreach.daemon.internal.store.TableWatch;
 import io.pollenreach.daemon.internal.store.Tables;
-import io.pollenreach.internal.batch.Resources;
 import io.pollenreach.internal.batch.TaskRun;
 import io.pollenreach.internal.batch.WorkerOrders;
 
@@ -62,6 +61,8 @@
     private final OrderSender orders;
     /** What the worker says of itself; null while no worker is known. */
     private WorkerInfo facts;
+    /** Whether the worker has said that it leaves. */
+    private boolean leaving;
 
     private Incarnation incarnation;
     private boolean claiming;
@@ -148,17 +149,23 @@
     private void identified(WorkerInfo worker) {
         EVENTS.info("worker-found", "worker", worker);
         facts = worker;
+        leaving = false;
         claim();
     }
 
-    /** Takes the news that a worker process has ended as planned. */
+    /**
+     * Takes a worker's word that it leaves as planned.
+     *
+     * <p>The worker may go on for seconds, for instance because the answer to its call is lost, so its runs count as ended
+     * only when it no longer listens.
+     */
     public void deregistered(String instance) {
         thread.execute(() -> guarded(() -> {
-            if (facts != null && facts.instance().equals(instance)) {
+            if (facts != null && facts.instance().equals(instance) && !leaving) {
                 EVENTS.info("worker-deregistered", "instance", instance);
-                facts = new WorkerInfo(
-                        "", facts.bornMs(), 0, facts.pool(), facts.zone(), true, Resources.NONE, List.of(), "");
-                claim();
+                leaving = true;
+                facts = facts.withDraining();
+                reportNow();
             }
         }));
     }
@@ -316,6 +323,14 @@
             claim();
             return;
         }
+        boolean ended = e.code() == ResultCode.PEER_UNREACHABLE || e.code() == ResultCode.NOT_FOUND;
+        if (leaving && ended) {
+            EVENTS.info("worker-left", "instance", facts.instance());
+            leaving = false;
+            facts = facts.withoutProcess();
+            claim();
+            return;
+        }
         inc.noteFailure(e);
         later(() -> poll(inc));
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/TaskRunner.java
@@ -14,7 +14,7 @@
  * The worker's own interface, which only its agent may call.
  *
  * <p>Makes each call once. Failures are {@link io.pollenreach.PollenreachException}s: {@code PEER_UNREACHABLE} when
- * nothing was done, {@code PEER_TIMEOUT} when the order may have been carried out or may yet be, {@code STALE_ATTEMPT}
+ * nothing listens at the worker's address, so that nothing was done and no process of the worker is up, {@code PEER_TIMEOUT} when the order may have been carried out or may yet be, {@code STALE_ATTEMPT}
  * when an agent with a higher fencing token has called, {@code NOT_FOUND} when another process answers at the worker's
  * address. Implementations are safe for use by many threads.
  */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkerInfo.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkerInfo.java
@@ -61,6 +61,15 @@
                 false);
     }
 
+    WorkerInfo withDraining() {
+        return new WorkerInfo(instance, bornMs, sequence, pool, zone, true, capacity, labels, rack);
+    }
+
+    /** Returns what is left of the worker when its process has ended. */
+    WorkerInfo withoutProcess() {
+        return new WorkerInfo("", bornMs, 0, pool, zone, true, Resources.NONE, List.of(), "");
+    }
+
     boolean sameProcess(WorkerInfo o) {
         return instance.equals(o.instance) && bornMs == o.bornMs;
     }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/WorkerIdentityTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/WorkerIdentityTest.java
@@ -104,6 +104,31 @@
         assertThatItRanOnce();
     }
 
+    // Guards against two runs at once: a worker that had said that it leaves went on with its runs, since it had no
+    // answer,
+    // and they started elsewhere.
+    @Test
+    void keepsTheRunOfAWorkerThatGoesOnAfterItsLeave() throws Exception {
+        Daemon agent = agentOfTheOnlyRun();
+
+        post(agent, "/Instances.Deregister/i-" + agent.name(), "{}");
+
+        assertThatItRanOnce();
+    }
+
+    @Test
+    void startsTheRunOfAWorkerElsewhereOnceItHasLeft() throws Exception {
+        Daemon agent = agentOfTheOnlyRun();
+        int left = cluster.agents().indexOf(agent.name());
+
+        post(agent, "/Instances.Deregister/i-" + agent.name(), "{}");
+        cluster.workers().get(left).close();
+
+        cluster.awaitState(JOB, "completed", END_MS);
+        assertThat(cluster.record().starts(TASK)).isEqualTo(2);
+        assertThat(cluster.record().violations()).isEmpty();
+    }
+
     private boolean isTaken(Daemon agent) throws Exception {
         try {
             return heartbeat(agent, "i-earlier", "pool", 1_000) == OK;
