Claim no worker on which a task is never expected to fit

Cause: a unit that finds no place claims the workers that are soonest free, which keeps them from less urgent units. PlacementPass.claim sorted workers last whose forecast is "never", because tasks that last hold part of them, and claimed them all the same, in each pass.

Change: such workers are not claimed, and a kind of unit for which nothing can be claimed is not tried again in a pass.

Evidence: UnfittingTasksTest leaveFreeCapacityToJobsThatComeAfterThem (expected 10 runs, was 0) and doNotKeepALargeJobThatCanBeDoneFromItsClaim failed before; doNotKeepAWorkspaceFromItsGuarantee held before and after.

--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -105,6 +105,9 @@
     private final Set<TaskId> tasksHoldingResources;
     private final Map<Requirement, List<WorkerAllocations>> suitableWorkers = new HashMap<>();
     private final Set<FitKey> unplaceable = new HashSet<>();
+    /** Units for which no worker could be claimed; like free capacity, what may be claimed only shrinks in a pass. */
+    private final Set<FitKey> unclaimable = new HashSet<>();
+
     private int claims;
 
     PlacementPass(SchedulerState schedulerState, long nowMs, long wallMs) {
@@ -173,12 +176,12 @@
     private void place(Unit unit) {
         Optional<FitKey> key = fitKey(unit);
         boolean blocked = key.filter(unplaceable::contains).isPresent();
-        if (blocked && claims == MAX_CLAIMS) {
+        if (blocked && (claims == MAX_CLAIMS || unclaimable.contains(key.get()))) {
             return;
         }
         List<WorkerAllocations> eligible = allowedByAdvisor(unit, eligibleWorkers(unit));
         if (blocked) {
-            claim(unit, eligible);
+            claim(unit, key, eligible);
             return;
         }
         Optional<List<FreeCapacity.Assignment>> fit = fitWithLocality(unit, eligible);
@@ -196,7 +199,7 @@
             return;
         }
         key.ifPresent(unplaceable::add);
-        claim(unit, eligible);
+        claim(unit, key, eligible);
     }
 
     /** Returns what decides on a unit; empty if one of its tasks failed before, since these avoid workers of their own. */
@@ -374,23 +377,35 @@
 
     /**
      * Claims the workers with the earliest expected free capacity for a unit, so that less urgent units cannot use
-     * them. Without claims small tasks would take the capacity for a large one as it becomes free.
+     * them. Without claims small tasks would take the capacity for a large one as it becomes free. A worker on which the
+     * unit is not expected to fit at any time is not claimed, since that would keep its capacity idle for good.
      */
-    private void claim(Unit unit, List<WorkerAllocations> eligible) {
-        if (claims == MAX_CLAIMS) {
+    private void claim(Unit unit, Optional<FitKey> key, List<WorkerAllocations> eligible) {
+        if (claims == MAX_CLAIMS || key.filter(unclaimable::contains).isPresent()) {
             return;
         }
         claims++;
-        capacityAfterRelease
-                .fit(
-                        unit.tasks(),
-                        unit.spec(),
-                        workersNearData(unit, eligible),
-                        requiresOneRack(unit),
-                        w -> untilFitsMs(unit, w))
-                .ifPresent(a -> {
-                    freeCapacity.allocate(a, unit.spec().occupied());
-                    capacityAfterRelease.allocate(a, unit.spec().occupied());
-                });
+        Collection<WorkerAllocations> near = workersNearData(unit, eligible);
+        Optional<List<FreeCapacity.Assignment>> claim =
+                fitAfterRelease(unit, near).filter(c -> c.stream().allMatch(a -> fitsSometime(unit, a.worker())));
+        if (claim.isEmpty()) {
+            claim = fitAfterRelease(
+                    unit, near.stream().filter(w -> fitsSometime(unit, w)).toList());
+        }
+        claim.ifPresentOrElse(
+                c -> {
+                    freeCapacity.allocate(c, unit.spec().occupied());
+                    capacityAfterRelease.allocate(c, unit.spec().occupied());
+                },
+                () -> key.ifPresent(unclaimable::add));
+    }
+
+    private Optional<List<FreeCapacity.Assignment>> fitAfterRelease(Unit unit, Collection<WorkerAllocations> workers) {
+        return capacityAfterRelease.fit(
+                unit.tasks(), unit.spec(), workers, requiresOneRack(unit), w -> untilFitsMs(unit, w));
+    }
+
+    private boolean fitsSometime(Unit unit, WorkerAllocations w) {
+        return untilFitsMs(unit, w) != Forecast.NEVER;
     }
 }
