Handle each row of another writer by itself

Here, one odd row among those of the workers ended the term of every leader, so that nothing was scheduled any more.

Cause: rows were checked field by field. A report that names a task with a negative number passed and failed in SchedulerState with an IndexOutOfBoundsException, which ended the term; the next leader read the same row. In the same way a report under another key took the place of an agent's own, a value that is not base64 stopped the reading of its table, and a stack overflow in a listener or an address that cannot be called ended a watch for good.

Change: task ids have no negative numbers; a row that fails is logged and left out, at the load and when changes come; a report counts only under its agent's name; watches outlive such failures.

--- a/core/src/main/java/io/pollenreach/internal/batch/TaskId.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/TaskId.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 import com.google.common.base.Splitter;
+import io.pollenreach.PollenreachException;
+import io.pollenreach.ResultCode;
 
 /**
  * Identifies one task; its text form is {@code job.occurrence.step.index}.
@@ -15,6 +17,15 @@
     private static final Splitter DOTS = Splitter.on('.');
     private static final int PARTS = 4;
 
+    public TaskId {
+        if (occurrence < 0 || step < 0 || index < 0) {
+            throw new PollenreachException(
+                    ResultCode.OUT_OF_RANGE,
+                    "task",
+                    "no task of job " + job + " has the numbers " + occurrence + '.' + step + '.' + index);
+        }
+    }
+
     /** Parses the text form; returns empty if the text is not a task id. */
     public static Optional<TaskId> parse(String text) {
         var parts = DOTS.splitToList(text);
@@ -27,7 +38,7 @@
                     Integer.parseInt(parts.get(1)),
                     Integer.parseInt(parts.get(2)),
                     Integer.parseInt(parts.get(3))));
-        } catch (NumberFormatException e) {
+        } catch (NumberFormatException | PollenreachException e) {
             return Optional.empty();
         }
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -115,7 +116,7 @@
         loadJobs(jobs.join(), progress.join(), nowMs);
         Map<String, StoredRow> ordersByAgent = new HashMap<>();
         orders.forEach(o -> o.join().rows().forEach(r -> ordersByAgent.put(r.key(), r)));
-        workers.join().rows().forEach(r -> loadWorker(r, ordersByAgent));
+        workers.join().rows().forEach(r -> guarded(r, () -> loadWorker(r, ordersByAgent)));
         state.finishRestore(nowMs);
         follow(Tables.JOBS, jobs.join().version(), this::acceptJob);
         follow(Tables.CANCELS, cancels.join().version(), r -> state.cancel(r.key(), clock.nowMs()));
@@ -195,7 +196,8 @@
     private static void guarded(StoredRow row, Runnable handling) {
         try {
             handling.run();
-        } catch (PollenreachException e) {
+        } catch (RuntimeException e) {
+            PollenreachException failure = PollenreachException.of(e);
             EVENTS.warn(
                     "row-rejected",
                     "key",
@@ -203,14 +205,25 @@
                     "version",
                     row.version(),
                     "code",
-                    e.code().number(),
+                    failure.code().number(),
                     "error",
-                    e.getMessage());
+                    failure.getMessage());
+        }
+    }
+
+    /** Reads a report; empty for one that stands under another name than its agent's, which only others write. */
+    private static Optional<WorkerReport> report(StoredRow row) {
+        Optional<WorkerReport> report = RowCodec.fromRow(row, WorkerReport.class);
+        if (report.isPresent() && !report.get().agent().equals(row.key())) {
+            EVENTS.warn(
+                    "report-misplaced", "key", row.key(), "agent", report.get().agent());
+            return Optional.empty();
         }
+        return report;
     }
 
     private void loadWorker(StoredRow row, Map<String, StoredRow> ordersByAgent) {
-        RowCodec.fromRow(row, WorkerReport.class).ifPresent(report -> {
+        report(row).ifPresent(report -> {
             StoredRow orders = ordersByAgent.get(report.agent());
             WorkerOrders restoredOrders = orders == null
                     ? WorkerOrders.none(report.incarnation())
@@ -238,8 +251,9 @@
             @Override
             public void changes(Rows rows) {
                 if (!rows.rows().isEmpty()) {
-                    inbox.add(
-                            () -> rows.rows().stream().filter(r -> !r.removed()).forEach(handler::handle));
+                    inbox.add(() -> rows.rows().stream()
+                            .filter(r -> !r.removed())
+                            .forEach(r -> guarded(r, () -> handler.handle(r))));
                 }
             }
         };
@@ -254,7 +268,7 @@
     }
 
     private void acceptReport(StoredRow row) {
-        RowCodec.fromRow(row, WorkerReport.class).ifPresent(r -> state.report(r, row.version(), clock.nowMs()));
+        report(row).ifPresent(r -> state.report(r, row.version(), clock.nowMs()));
     }
 
     /** Waits for changes or the next tick, then makes and stores decisions. */
@@ -457,6 +471,11 @@
         }
     }
 
+    /** Returns the store's version of an agent's newest report. */
+    long reportVersion(String agent) {
+        return state.workers().reportVersion(agent);
+    }
+
     /** Steps down, so that another entry can take over without waiting for the timeout. */
     void stepDown() {
         Transaction tx =
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/TableWatch.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/TableWatch.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
@@ -75,7 +76,7 @@
             return;
         }
         long sentMs = clock.nowMs();
-        store.list(table).whenComplete((rows, t) -> {
+        call(() -> store.list(table)).whenComplete((rows, t) -> {
             if (t == null) {
                 t = deliver(() -> listener.snapshot(rows));
             }
@@ -93,7 +94,7 @@
             return;
         }
         long sentMs = clock.nowMs();
-        store.changes(table, after, waitMs).whenComplete((rows, t) -> {
+        call(() -> store.changes(table, after, waitMs)).whenComplete((rows, t) -> {
             if (t == null) {
                 t = deliver(() -> listener.changes(rows));
             }
@@ -109,6 +110,15 @@
         });
     }
 
+    // A call that cannot even be made, for instance to an address that makes no sense, must not end the watch.
+    private static CompletableFuture<Rows> call(Supplier<CompletableFuture<Rows>> call) {
+        try {
+            return call.get();
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     private Throwable deliver(Runnable call) {
         if (closed) {
             return null;
@@ -116,7 +126,7 @@
         try {
             call.run();
             return null;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             EVENTS.warn("watch-listener-failed", "table", table, "error", e);
             return e;
         }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -270,6 +270,42 @@
                 .containsExactly("b");
     }
 
+    // Guards against a row of another writer that ends the term of every leader: its list of runs named a task that no
+    // job
+    // can have.
+    @Test
+    void schedulesOnWhenAReportNamesATaskThatNoJobHas() throws Exception {
+        putWorker("w1");
+        putJob("a", 1, "team", 1, 1);
+        String odd = "{\"agent\":\"odd\",\"incarnation\":\"i\",\"instance\":\"i\",\"pool\":\"pool\",\"ordersSeen\":1,"
+                + "\"active\":[{\"run\":{\"task\":\"a.0.-1.0\",\"run\":1}}]}";
+        store.put(Tables.WORKERS, "odd", odd.getBytes(StandardCharsets.UTF_8));
+        load();
+
+        term.step();
+
+        assertThat(storedOrders("w1").get(0).runs()).hasSize(1);
+    }
+
+    // Guards against a row of another writer that stands in for an agent's own.
+    @Test
+    void ignoresAReportThatIsStoredUnderAnotherNameThanItsAgents() throws Exception {
+        putWorker("w1");
+        store.put(
+                Tables.WORKERS,
+                "x-odd",
+                store.get(Tables.WORKERS, "w1").join().orElseThrow().value());
+        putJob("a", 1, "team", 1, 1);
+        load();
+
+        term.step();
+
+        assertThat(storedOrders("w1")).hasSize(1);
+        assertThat(storedOrders("x-odd")).isEmpty();
+        assertThat(term.reportVersion("w1"))
+                .isEqualTo(store.get(Tables.WORKERS, "w1").join().orElseThrow().version());
+    }
+
     private long countRuns() {
         return storedOrders(WORKERS).stream().mapToLong(o -> o.runs().size()).sum();
     }
