Reject jobs whose needs are negative or beyond any worker

Cause: JobWire read needs as they came, and nothing in core bounded them, although free capacity is computed by subtracting them.

Change: each need lies between 0 and a bound that keeps the sums over a step in range; others are refused with 1004.

--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -37,6 +37,9 @@
     /** Largest number of tasks in a step: a quarter of the tasks that the largest deployment runs at a time. */
     private static final int MAX_TASKS = 10_000;
 
+    /** Largest need of a task, far beyond any worker, so that sums over all tasks of a step stay in range. */
+    private static final Resources MAX_NEED = new Resources(1_000_000_000, 1_000_000_000, 100_000);
+
     /** Creates a job; throws a {@link PollenreachException} if its steps are invalid. */
     public BatchJob {
         RequiredField.of(id, "id");
@@ -57,6 +60,11 @@
             String detail = "step " + index + " has " + step.taskCount() + " tasks; the limits are 1 to " + MAX_TASKS;
             throw new PollenreachException(ResultCode.OUT_OF_RANGE, "steps", detail);
         }
+        if (!Resources.NONE.fitsIn(step.need()) || !step.need().fitsIn(MAX_NEED)) {
+            String detail =
+                    "each task of step " + index + " needs " + step.need() + "; the limits are 0 and " + MAX_NEED;
+            throw new PollenreachException(ResultCode.OUT_OF_RANGE, "steps", detail);
+        }
         if (step.after().stream().anyMatch(a -> a < 0 || a >= index)) {
             String detail = "step " + index + " comes after " + step.after() + "; a step may follow only earlier steps";
             throw new PollenreachException(ResultCode.OUT_OF_RANGE, "steps", detail);
--- a/core/src/test/java/io/pollenreach/internal/batch/UnfittingTasksTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/UnfittingTasksTest.java
@@ -20,7 +20,10 @@
         fixture.worker("w1", "r1");
         fixture.worker("w2", "r1");
         fixture.submit(Jobs.job("lasting")
-                .step(Jobs.step(2, 2).toBuilder().longRunning(true).maxPerWorker(1).build()));
+                .step(Jobs.step(2, 2).toBuilder()
+                        .longRunning(true)
+                        .maxPerWorker(1)
+                        .build()));
         fixture.submit(Jobs.job("unfitting").step(Jobs.step(2, ACCELERATORS)));
     }
 
