Answer a caller only for the jobs of its workspace

Cause: Ingress.job checked the key against the queue of the path, and JobIntake then looked up the id alone.

Change: JobOwner.admits in core decides for every verb. Others get 410 as for an unknown id, after the same reads, and 409 (5002) for a POST with an id in use; the owner's POST through another queue remains one job. The first row of progress names the owner, so that a GET still takes one read.

The project's own interface was not looked at.

--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -71,6 +71,11 @@
         }
     }
 
+    /** Returns who the job belongs to. */
+    public JobOwner owner() {
+        return new JobOwner(workspace, queue);
+    }
+
     /** Returns how many times the steps run. */
     public int occurrences() {
         return recurrence == null ? 1 : recurrence.times();
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -117,7 +117,8 @@
                 .computeIfAbsent(rowOf(t.id()), n -> new ArrayList<>())
                 .add(t.toRow()));
         Map<Integer, ProgressRow> rows = new TreeMap<>();
-        tasksByRow.forEach((number, tasks) -> rows.put(number, new ProgressRow(phase, tasks)));
+        tasksByRow.forEach(
+                (number, tasks) -> rows.put(number, new ProgressRow(phase, tasks, number == 0 ? job.owner() : null)));
         return rows;
     }
 
--- a/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
@@ -12,8 +12,9 @@
  *
  * @param phase the job's phase when the row was written; only that of the job's first row is kept up to date
  * @param tasks the tasks of this row that were placed at least once
+ * @param owner who the job belongs to; null in rows after the first and in those of earlier versions
  */
-public record ProgressRow(JobPhase phase, List<TaskRow> tasks) {
+public record ProgressRow(JobPhase phase, List<TaskRow> tasks, JobOwner owner) {
     /** Tasks whose progress one row holds. */
     public static final int MAX_TASKS = 250;
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -17,6 +17,7 @@
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.daemon.internal.store.Transaction;
 import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.JobOwner;
 import io.pollenreach.internal.batch.JobPhase;
 import io.pollenreach.internal.batch.ProgressRow;
 
@@ -61,7 +62,8 @@
      * Accepts a job.
      *
      * @return completes once the job is stored; fails with {@code PLATFORM_UNAVAILABLE} when surely nothing was stored,
-     *     with {@code WRITE_UNKNOWN} when it may have been, and with {@code TOO_LARGE} when no row could hold the job
+     *     with {@code WRITE_UNKNOWN} when it may have been, with {@code TOO_LARGE} when no row could hold the job, and
+     *     with {@code EXISTS} when another workspace uses the id
      */
     public CompletableFuture<Void> submit(BatchJob job) {
         long startMs = clock.nowMs();
@@ -77,38 +79,61 @@
         Transaction tx = new Transaction().expect(Tables.JOBS, job.id(), 0).write(Tables.JOBS, job.id(), value);
         return answering(job.id())
                 .thenCompose(v -> write(tx, Tables.JOBS, job.id(), startMs, false))
+                .thenCompose(written -> written
+                        ? CompletableFuture.<Void>completedFuture(null)
+                        : read(startMs, () -> store.get(Tables.JOBS, job.id()))
+                                .thenAccept(row -> requireSameOwner(job, row)))
                 .whenComplete((v, t) -> note("job-submitted", job.id(), startMs, t, "queue", job.queue()));
     }
 
+    private static void requireSameOwner(BatchJob job, Optional<StoredRow> row) {
+        Optional<JobOwner> owner =
+                row.flatMap(r -> RowCodec.fromRow(r, BatchJob.class)).map(BatchJob::owner);
+        if (owner.isEmpty() || !owner.get().admits(job.owner())) {
+            throw new PollenreachException(
+                    ResultCode.EXISTS, "id", "the id " + job.id() + " is in use; nothing was accepted");
+        }
+    }
+
     /**
      * Cancels a job.
      *
-     * @return whether the job is known; fails as {@link #submit} does
+     * @return whether the caller has such a job; fails as {@link #submit} does
      */
-    public CompletableFuture<Boolean> cancel(String id) {
+    public CompletableFuture<Boolean> cancel(String id, JobOwner caller) {
         long startMs = clock.nowMs();
         Transaction tx = new Transaction()
                 .expect(Tables.CANCELS, id, 0)
                 .write(Tables.CANCELS, id, RowCodec.toValue(clock.wallMs()));
         return read(startMs, () -> store.get(Tables.JOBS, id))
-                .thenCompose(row -> row.isEmpty()
-                        ? CompletableFuture.completedFuture(false)
-                        : write(tx, Tables.CANCELS, id, startMs, false).thenApply(v -> true))
+                .thenCompose(row -> isAdmitted(row, caller)
+                        ? write(tx, Tables.CANCELS, id, startMs, false).thenApply(v -> true)
+                        : CompletableFuture.completedFuture(false))
                 .whenComplete((known, t) -> note("job-cancelled", id, startMs, t, "known", known));
     }
 
-    /** Returns where a job stands; empty for a job that is not known. */
-    public CompletableFuture<Optional<JobPhase>> phase(String id) {
+    private static boolean isAdmitted(Optional<StoredRow> job, JobOwner caller) {
+        return job.flatMap(r -> RowCodec.fromRow(r, BatchJob.class))
+                .filter(j -> j.owner().admits(caller))
+                .isPresent();
+    }
+
+    /** Returns where a job stands; empty if the caller has no such job, whether or not another one has. */
+    public CompletableFuture<Optional<JobPhase>> phase(String id, JobOwner caller) {
         long startMs = clock.nowMs();
         return read(startMs, () -> store.get(Tables.PROGRESS, id))
                 .thenCompose(row -> {
-                    if (row.isPresent()) {
-                        ProgressRow progress = RowCodec.fromRow(row.get(), ProgressRow.class)
-                                .orElseThrow(
-                                        () -> new PollenreachException(ResultCode.INTERNAL, "unreadable row " + id));
-                        return CompletableFuture.completedFuture(Optional.of(progress.phase()));
+                    Optional<ProgressRow> progress = row.map(r -> RowCodec.fromRow(r, ProgressRow.class)
+                            .orElseThrow(() -> new PollenreachException(ResultCode.INTERNAL, "unreadable row " + id)));
+                    JobOwner owner = progress.map(ProgressRow::owner).orElse(null);
+                    if (owner != null && owner.admits(caller)) {
+                        return CompletableFuture.completedFuture(progress.map(ProgressRow::phase));
                     }
-                    return read(startMs, () -> store.get(Tables.JOBS, id)).thenApply(j -> j.map(r -> JobPhase.QUEUED));
+                    // Also read for a job of others, so that the time of the answer does not tell it from an unknown
+                    // one.
+                    return read(startMs, () -> store.get(Tables.JOBS, id)).thenApply(job -> Optional.of(
+                                    progress.map(ProgressRow::phase).orElse(JobPhase.QUEUED))
+                            .filter(p -> isAdmitted(job, caller)));
                 })
                 .whenComplete((phase, t) -> note(
                         "job-asked",
@@ -147,13 +172,17 @@
         });
     }
 
-    /** Writes a row that must not exist yet; the row with this key can only be one that says the same. */
-    private CompletableFuture<Void> write(
+    /**
+     * Writes a row that must not exist yet.
+     *
+     * @return whether it was written; false if the row exists, by an earlier attempt of this call or by another call
+     */
+    private CompletableFuture<Boolean> write(
             Transaction tx, String table, String key, long startMs, boolean outcomeUnknown) {
-        return store.commit(tx).<Void>thenApply(v -> null).exceptionallyCompose(t -> {
+        return store.commit(tx).thenApply(v -> true).exceptionallyCompose(t -> {
             PollenreachException e = PollenreachException.of(t);
             if (e.code() == ResultCode.CONFLICT) {
-                return CompletableFuture.completedFuture(null);
+                return CompletableFuture.completedFuture(false);
             }
             suspect |= e.code() == ResultCode.WRITE_UNKNOWN;
             boolean unsure = outcomeUnknown || e.code() != ResultCode.PLATFORM_UNAVAILABLE;
@@ -169,10 +198,10 @@
         return heard.getAsBoolean() ? PATIENCE_MS : 0;
     }
 
-    private CompletableFuture<Void> readBack(String table, String key) {
+    private CompletableFuture<Boolean> readBack(String table, String key) {
         return store.get(table, key).handle((Optional<StoredRow> row, Throwable t) -> {
             if (t == null && row.isPresent()) {
-                return null;
+                return false;
             }
             throw new PollenreachException(
                     ResultCode.WRITE_UNKNOWN, null, "the store did not confirm the write of " + key, t);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
@@ -12,6 +12,7 @@
 import io.pollenreach.daemon.internal.store.RowCodec;
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.JobOwner;
 import io.pollenreach.internal.batch.JobPhase;
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.Resources;
@@ -21,6 +22,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class JobIntakeTest {
+    private static final JobOwner TEAM = new JobOwner("team", "q");
+    private static final JobOwner OTHERS = new JobOwner("others", "q");
+
     private final MemoryStore store = new MemoryStore();
     private boolean heard = true;
     private final JobIntake intake = new JobIntake(store, () -> heard, Clock.system());
@@ -104,19 +108,63 @@
     void cancelsOnlyWhatIsKnown() {
         intake.submit(job("a")).join();
 
-        assertThat(intake.cancel("a").join()).isTrue();
-        assertThat(intake.cancel("a").join()).isTrue();
-        assertThat(intake.cancel("b").join()).isFalse();
+        assertThat(intake.cancel("a", TEAM).join()).isTrue();
+        assertThat(intake.cancel("a", TEAM).join()).isTrue();
+        assertThat(intake.cancel("b", TEAM).join()).isFalse();
     }
 
     @Test
     void tellsWhereAJobStands() {
         intake.submit(job("a")).join();
-        assertThat(intake.phase("a").join()).contains(JobPhase.QUEUED);
+        assertThat(intake.phase("a", TEAM).join()).contains(JobPhase.QUEUED);
+
+        store.put(Tables.PROGRESS, "a", RowCodec.toValue(new ProgressRow(JobPhase.COMPLETED, List.of(), TEAM)));
+
+        assertThat(intake.phase("a", TEAM).join()).contains(JobPhase.COMPLETED);
+        assertThat(intake.phase("b", TEAM).join()).isEmpty();
+    }
+
+    // Guards against a key of one workspace that reads and cancels the jobs of another.
+    @Test
+    void answersAnotherWorkspaceAsIfTheJobDidNotExist() {
+        intake.submit(job("a")).join();
+
+        assertThat(intake.phase("a", OTHERS).join()).isEmpty();
+        assertThat(intake.cancel("a", OTHERS).join()).isFalse();
+        assertThat(store.get(Tables.CANCELS, "a").join()).isEmpty();
+
+        store.put(Tables.PROGRESS, "a", RowCodec.toValue(new ProgressRow(JobPhase.RUNNING, List.of(), TEAM)));
+        assertThat(intake.phase("a", OTHERS).join()).isEmpty();
+        assertThat(intake.phase("a", TEAM).join()).contains(JobPhase.RUNNING);
+    }
+
+    @Test
+    void answersTheOwnerOfARowThatDoesNotTellItsOwner() {
+        intake.submit(job("a")).join();
+        store.put(Tables.PROGRESS, "a", RowCodec.toValue(new ProgressRow(JobPhase.RUNNING, List.of(), null)));
+
+        assertThat(intake.phase("a", TEAM).join()).contains(JobPhase.RUNNING);
+        assertThat(intake.phase("a", OTHERS).join()).isEmpty();
+    }
+
+    // Guards against 2xx for a job that never runs: the id was another workspace's.
+    @Test
+    void rejectsAnIdThatAnotherWorkspaceUses() {
+        intake.submit(job("a")).join();
+        StepSpec step = StepSpec.builder(1, Resources.NONE).build();
+        BatchJob same = new BatchJob("a", "q", "others", "pool", 1, 3, "payload", List.of(step), null, false);
+
+        assertThat(failure(intake.submit(same))).isEqualTo(ResultCode.EXISTS);
+        assertThat(intake.phase("a", TEAM).join()).contains(JobPhase.QUEUED);
+    }
 
-        store.put(Tables.PROGRESS, "a", RowCodec.toValue(new ProgressRow(JobPhase.COMPLETED, List.of())));
+    @Test
+    void acceptsTheSameIdOfItsWorkspaceThroughAnotherQueue() {
+        intake.submit(job("a")).join();
+        StepSpec step = StepSpec.builder(1, Resources.NONE).build();
+        BatchJob same = new BatchJob("a", "r", "team", "pool", 1, 3, "payload", List.of(step), null, false);
 
-        assertThat(intake.phase("a").join()).contains(JobPhase.COMPLETED);
-        assertThat(intake.phase("b").join()).isEmpty();
+        assertThat(failure(intake.submit(same))).isEqualTo(ResultCode.OK);
+        assertThat(intake.phase("a", new JobOwner("team", "r")).join()).contains(JobPhase.QUEUED);
     }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -259,7 +259,7 @@
         putJob("c", 1, "team", 1, 1);
         byte[] unreadable = "no progress".getBytes(StandardCharsets.UTF_8);
         store.put(Tables.PROGRESS, "a", unreadable);
-        store.put(Tables.PROGRESS, "c", RowCodec.toValue(new ProgressRow(JobPhase.RUNNING, List.of())));
+        store.put(Tables.PROGRESS, "c", RowCodec.toValue(new ProgressRow(JobPhase.RUNNING, List.of(), null)));
         store.put(Tables.PROGRESS, "c~1", unreadable);
         load();
 
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -27,6 +27,12 @@
  */
 final class PlatformCluster implements AutoCloseable {
     static final String KEY = "key-1";
+    /** The key of another workspace. */
+    static final String OTHER_KEY = "key-of-others";
+
+    /** A header that says nothing, for calls without a key. */
+    private static final String[] NO_KEY = {"Accept", "application/json"};
+
     private static final String IP = "127.0.0.1";
     private static final String PREFIX = "/jobs/";
     private static final String ADVISED_PREFIX = "/advised/";
@@ -84,7 +90,7 @@
                 + "\",\"service\":\"pool\",\"priority\":1,\"max-attempts\":3,"
                 + "\"advice\":{\"decision-ms\":40,\"per-worker-ms\":0,\"validity-ms\":1500}}],"
                 + "\"tenants\":[{\"name\":\"team\",\"api-keys\":[\"" + String.join("\",\"", keys)
-                + "\"],\"guaranteed\":{\"gpu\":4}}]}";
+                + "\"],\"guaranteed\":{\"gpu\":4}},{\"name\":\"others\",\"api-keys\":[\"" + OTHER_KEY + "\"]}]}";
         store.put("op", "config", config.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -204,7 +210,7 @@
             throws Exception {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + ingress.get(entry) + path))
                 .timeout(CALL_TIMEOUT)
-                .header("Authorization", "Bearer " + key)
+                .headers(key.isEmpty() ? NO_KEY : new String[] {"Authorization", "Bearer " + key})
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
                 .build();
         return http.send(request, HttpResponse.BodyHandlers.ofString());
