Forget an ended job only when its rows are removed

Cause: SchedulerState.expire forgot jobs before their rows were removed. If the store refused the removal, the rows stayed for good, and the next reading of the whole table, after the store had discarded its history, took them for a new job.

Change: jobs are forgotten once the removal is confirmed, and the removal is repeated until then; the ids of forgotten jobs are kept for two minutes, for readings that began before. Cancellations of jobs that never came expire too.

--- a/bench/src/main/java/io/pollenreach/bench/planning/SyntheticBatch.java
+++ b/bench/src/main/java/io/pollenreach/bench/planning/SyntheticBatch.java
@@ -12,6 +12,7 @@
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.RunningTask;
 import io.pollenreach.internal.batch.SchedulerState;
+import io.pollenreach.internal.batch.StateChanges;
 import io.pollenreach.internal.batch.StepSpec;
 import io.pollenreach.internal.batch.WorkerOrders;
 import io.pollenreach.internal.batch.WorkerReport;
@@ -175,7 +176,7 @@
 
     /** Takes the changes of the last pass as stored; returns how many rows they have. */
     int store() {
-        SchedulerState.Changes changes = state.changes();
+        StateChanges changes = state.changes();
         orders.putAll(changes.workers());
         state.committed(++version);
         return changes.jobs().size() + changes.workers().size();
--- a/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
@@ -20,7 +20,13 @@
  * thread.
  */
 final class JobTable {
+    /** How long the id of a removed job is kept, in milliseconds; a view of the store that is older is not delivered. */
+    private static final long FORGOTTEN_IDS_KEPT_MS = 120_000;
+
     private final Map<String, JobProgress> byId = new LinkedHashMap<>();
+    /** When jobs were removed, by their ids. */
+    private final Map<String, Long> forgotten = new HashMap<>();
+
     // Jobs whose rows were written in one transaction share their sequence.
     private final SortedSet<JobProgress> active = new TreeSet<>(Comparator.comparingLong(JobProgress::sequence)
             .thenComparing(j -> j.job().id()));
@@ -63,17 +69,28 @@
         return count;
     }
 
-    /** Removes the jobs that ended before a time and whose id fulfils a condition; returns them. */
-    List<JobProgress> removeEndedBefore(long timeMs, Predicate<String> condition) {
-        List<JobProgress> removed = new ArrayList<>();
+    /** Returns the jobs that ended before a time and whose id fulfils a condition. */
+    List<JobProgress> endedBefore(long timeMs, Predicate<String> condition) {
+        List<JobProgress> ended = new ArrayList<>();
         for (JobProgress job : byId.values()) {
             if (job.phase().ended()
                     && job.endedMs() < timeMs
                     && condition.test(job.job().id())) {
-                removed.add(job);
+                ended.add(job);
             }
         }
-        removed.forEach(j -> byId.remove(j.job().id()));
-        return removed;
+        return ended;
+    }
+
+    /** Removes a job, and keeps its id for a while. */
+    void forget(String id, long nowMs) {
+        byId.remove(id);
+        forgotten.values().removeIf(ms -> ms < nowMs - FORGOTTEN_IDS_KEPT_MS);
+        forgotten.put(id, nowMs);
+    }
+
+    /** Tells whether a job has been removed lately. */
+    boolean wasForgotten(String id) {
+        return forgotten.containsKey(id);
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -1,7 +1,7 @@
 package io.pollenreach.internal.batch;
 
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,22 +17,6 @@
  * Not thread-safe: confined to the scheduler's thread.
  */
 public final class SchedulerState {
-    /**
-     * Rows to store, those of jobs first.
-     *
-     * <p>Immutable.
-     *
-     * @param jobs the changed rows of progress by job and then by key; the rows of one job belong into one transaction,
-     *     and its first row comes first, so that a job of which only some could be stored never seems to be new
-     * @param workers the changed orders by the agent's name
-     */
-    public record Changes(Map<String, Map<String, ProgressRow>> jobs, Map<String, WorkerOrders> workers) {
-        /** Tells whether there is nothing to store. */
-        public boolean isEmpty() {
-            return jobs.isEmpty() && workers.isEmpty();
-        }
-    }
-
     /**
      * A run that fails within this time of its placement counts as failed at its start, in milliseconds. About half
      * of the time passes before the failure is reported.
@@ -42,7 +26,9 @@
     private final DecisionLog log;
     private final JobTable jobs = new JobTable();
     private final WorkerTable workers = new WorkerTable();
-    private final Set<String> cancelled = new HashSet<>();
+    /** The ids of cancelled jobs, and when the scheduler learned of it, by its monotonic clock. */
+    private final Map<String, Long> cancelled = new HashMap<>();
+
     private final Set<String> changedJobs = new LinkedHashSet<>();
     private final Set<String> changedWorkers = new LinkedHashSet<>();
     private final AdviceCache advice = new AdviceCache();
@@ -65,9 +51,9 @@
         }
     }
 
-    /** Adds an accepted job; does nothing if it is already known. */
+    /** Adds an accepted job; does nothing if it is already known or has been forgotten. */
     public void accept(BatchJob job, long sequence, long nowMs) {
-        if (jobs.get(job.id()) != null) {
+        if (jobs.get(job.id()) != null || jobs.wasForgotten(job.id())) {
             return;
         }
         add(new JobProgress(job, sequence, nowMs), nowMs);
@@ -82,7 +68,7 @@
 
     private void add(JobProgress job, long nowMs) {
         jobs.add(job);
-        if (cancelled.contains(job.job().id())) {
+        if (cancelled.containsKey(job.job().id())) {
             cancel(job.job().id(), nowMs);
         }
     }
@@ -128,7 +114,7 @@
 
     /** Cancels a job; if the job is not known yet, cancels it when it is added. */
     public void cancel(String id, long nowMs) {
-        cancelled.add(id);
+        cancelled.putIfAbsent(id, nowMs);
         JobProgress job = jobs.get(id);
         if (job != null && !job.phase().ended()) {
             end(job, JobPhase.CANCELLED, nowMs);
@@ -468,12 +454,12 @@
     }
 
     /** Returns the changes that must be stored before agents may act on them. */
-    public Changes changes() {
+    public StateChanges changes() {
         Map<String, Map<String, ProgressRow>> rows = new LinkedHashMap<>();
         changedJobs.forEach(id -> rows.put(id, jobs.get(id).changedRows()));
         Map<String, WorkerOrders> orders = new LinkedHashMap<>();
         changedWorkers.forEach(n -> orders.put(n, workers.get(n).toOrders()));
-        return new Changes(rows, orders);
+        return new StateChanges(rows, orders);
     }
 
     /** Records that the changes returned by {@link #changes()} were stored under a version. */
@@ -485,16 +471,26 @@
     }
 
     /**
-     * Removes the jobs that ended longer ago than a time, in milliseconds.
+     * Returns the jobs that ended longer ago than a time, in milliseconds, and those that were cancelled as long ago
+     * without ever being known. They are kept until {@link #forget} tells that their rows are gone.
      *
-     * @return the keys of the rows of progress of each removed job, by its id
+     * @return the keys of the rows of progress of each such job, by its id
      */
-    public Map<String, List<String>> expire(long keepMs, long nowMs) {
+    public Map<String, List<String>> expired(long keepMs, long nowMs) {
         Map<String, List<String>> expired = new LinkedHashMap<>();
-        for (JobProgress job : jobs.removeEndedBefore(nowMs - keepMs, id -> !changedJobs.contains(id))) {
-            expired.put(job.job().id(), job.rowKeys());
-            cancelled.remove(job.job().id());
-        }
+        cancelled.forEach((id, seenMs) -> {
+            if (jobs.get(id) == null && seenMs < nowMs - keepMs) {
+                expired.put(id, List.of());
+            }
+        });
+        jobs.endedBefore(nowMs - keepMs, id -> !changedJobs.contains(id))
+                .forEach(j -> expired.put(j.job().id(), j.rowKeys()));
         return expired;
     }
+
+    /** Forgets an expired job whose rows have been removed; an older view of these rows does not bring it back. */
+    public void forget(String id, long nowMs) {
+        jobs.forget(id, nowMs);
+        cancelled.remove(id);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/StateChanges.java
@@ -0,0 +1,19 @@
+package io.pollenreach.internal.batch;
+
+import java.util.Map;
+
+/**
+ * The rows that a scheduler has to store, those of jobs first.
+ *
+ * <p>Immutable.
+ *
+ * @param jobs the changed rows of progress by job and then by key; the rows of one job belong into one transaction, and
+ *     its first row comes first, so that a job of which only some could be stored never seems to be new
+ * @param workers the changed orders by the agent's name
+ */
+public record StateChanges(Map<String, Map<String, ProgressRow>> jobs, Map<String, WorkerOrders> workers) {
+    /** Tells whether there is nothing to store. */
+    public boolean isEmpty() {
+        return jobs.isEmpty() && workers.isEmpty();
+    }
+}
--- a/core/src/test/java/io/pollenreach/internal/batch/JobTableTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/JobTableTest.java
@@ -42,9 +42,10 @@
         add("gone", 3).end(JobPhase.COMPLETED, 10);
         add("recent", 4).end(JobPhase.COMPLETED, 90);
 
-        List<JobProgress> removed = table.removeEndedBefore(50, id -> !id.equals("kept"));
+        List<JobProgress> ended = table.endedBefore(50, id -> !id.equals("kept"));
+        ended.forEach(j -> table.forget(j.job().id(), 100));
 
-        assertThat(removed).extracting(j -> j.job().id()).containsExactly("gone");
+        assertThat(ended).extracting(j -> j.job().id()).containsExactly("gone");
         assertThat(table.byId()).containsOnlyKeys("running", "kept", "recent");
     }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
@@ -90,4 +90,16 @@
                 .containsExactly(0);
         assertThat(next.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
     }
+
+    // Guards against rows that nobody removes: a cancellation that was stored after its job had expired.
+    @Test
+    void expiresACancellationOfAJobThatNeverCame() {
+        fixture.cancel("gone");
+        fixture.runPass(1_000);
+
+        assertThat(fixture.state().expired(500, 1_000)).containsOnlyKeys("gone");
+        fixture.state().forget("gone", 1_000);
+
+        assertThat(fixture.state().expired(500, 2_000)).isEmpty();
+    }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -122,7 +122,7 @@
     }
 
     /** Applies the newest report again and returns the resulting changes. */
-    SchedulerState.Changes repeatReport(String worker) {
+    StateChanges repeatReport(String worker) {
         state.report(reports.get(worker), state.workers().reportVersion(worker), nowMs);
         return state.changes();
     }
@@ -177,7 +177,7 @@
     void runPass(long ms) {
         nowMs += ms;
         state.plan(nowMs, WALL_MS + nowMs);
-        SchedulerState.Changes changes = state.changes();
+        StateChanges changes = state.changes();
         changes.jobs()
                 .values()
                 .forEach(rows -> rows.forEach((key, row) -> progress.put(key, roundTrip(row, ProgressRow.class))));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -33,6 +33,7 @@
 import io.pollenreach.internal.batch.DecisionLog;
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.SchedulerState;
+import io.pollenreach.internal.batch.StateChanges;
 import io.pollenreach.internal.batch.WorkerOrders;
 import io.pollenreach.internal.batch.WorkerReport;
 
@@ -67,6 +68,7 @@
     private final Timer passTimer;
     private final Counter workersExamined;
     private final LostWorkerDetector lostWorkerDetector;
+    private final RowRemover rowRemover;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final List<TableWatch> watches = new ArrayList<>();
     private TableWatch workersWatch;
@@ -94,6 +96,7 @@
         clock = context.clock();
         state = new SchedulerState(log);
         lostWorkerDetector = new LostWorkerDetector(state.workers(), context.registry(), context.leaseMs());
+        rowRemover = new RowRemover(store, this::newTermTransaction);
         lastExpiryMs = clock.nowMs();
     }
 
@@ -113,6 +116,7 @@
         awaitWithHeartbeats(CompletableFuture.allOf(all.toArray(CompletableFuture[]::new)));
         long nowMs = clock.nowMs();
         cancels.join().rows().forEach(r -> state.cancel(r.key(), nowMs));
+        rowRemover.removeOrphans(jobs.join(), progress.join());
         loadJobs(jobs.join(), progress.join(), nowMs);
         Map<String, StoredRow> ordersByAgent = new HashMap<>();
         orders.forEach(o -> o.join().rows().forEach(r -> ordersByAgent.put(r.key(), r)));
@@ -387,7 +391,7 @@
     }
 
     private void storeChanges(long nowMs) throws InterruptedException {
-        SchedulerState.Changes changes = state.changes();
+        StateChanges changes = state.changes();
         if (changes.isEmpty() && nowMs - lastHeartbeatMs < Scheduler.HEARTBEAT_INTERVAL_MS) {
             return;
         }
@@ -406,7 +410,7 @@
     }
 
     // Progress is stored before orders, so the placement of every ordered run is known.
-    private List<Transaction> transactions(SchedulerState.Changes changes) {
+    private List<Transaction> transactions(StateChanges changes) {
         List<Transaction> all = new ArrayList<>();
         Transaction tx = newTermTransaction();
         tx.write(Tables.LEADER, Tables.BEAT, RowCodec.toValue(nextHeartbeat()));
@@ -453,19 +457,12 @@
         }
         lastExpiryMs = nowMs;
         for (Map.Entry<String, List<String>> job :
-                state.expire(ENDED_JOB_RETENTION_MS, nowMs).entrySet()) {
-            Transaction tx =
-                    newTermTransaction().remove(Tables.JOBS, job.getKey()).remove(Tables.CANCELS, job.getKey());
+                state.expired(ENDED_JOB_RETENTION_MS, nowMs).entrySet()) {
             try {
-                for (String key : job.getValue()) {
-                    if (tx.size() == StateStore.MAX_ENTRIES) {
-                        store.commit(tx).join();
-                        tx = newTermTransaction();
-                    }
-                    tx.remove(Tables.PROGRESS, key);
-                }
-                store.commit(tx).join();
+                rowRemover.remove(job.getKey(), job.getValue());
+                state.forget(job.getKey(), nowMs);
             } catch (RuntimeException e) {
+                // Some rows may stay, and are removed with the next attempt; until then the job counts as ended.
                 rethrowUnlessUnavailable(PollenreachException.of(e));
             }
         }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/RowSizesTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/RowSizesTest.java
@@ -15,6 +15,7 @@
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.RunningTask;
 import io.pollenreach.internal.batch.SchedulerState;
+import io.pollenreach.internal.batch.StateChanges;
 import io.pollenreach.internal.batch.StepSpec;
 import io.pollenreach.internal.batch.TaskRun;
 import io.pollenreach.internal.batch.WorkerOrders;
@@ -63,7 +64,7 @@
     }
 
     private void checkAndStore() {
-        SchedulerState.Changes changes = state.changes();
+        StateChanges changes = state.changes();
         changes.jobs().values().forEach(rows -> rows.forEach(RowSizesTest::check));
         changes.workers().forEach(RowSizesTest::check);
         orders.putAll(changes.workers());
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.pollenreach.ManualClock;
@@ -14,8 +15,10 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.store.MemoryStore;
 import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.StoredRow;
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.EndKind;
 import io.pollenreach.internal.batch.JobPhase;
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.Resources;
@@ -32,6 +35,10 @@
 class TermTest {
     private static final long LEASE_MS = 6_000;
     private static final long POLL_MS = 10;
+
+    /** Longer than ended jobs are kept, in milliseconds. */
+    private static final long RETENTION_MS = 200_000;
+
     private static final String[] WORKERS = {"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"};
 
     private final MemoryStore store = new MemoryStore();
@@ -59,7 +66,7 @@
         putReport(name, name, true);
     }
 
-    private void putReport(String name, String instance, boolean takesTasks) {
+    private void putReport(String name, String instance, boolean takesTasks, RunEnd... ends) {
         WorkerReport report = new WorkerReport(
                 name,
                 instance + "-incarnation",
@@ -74,7 +81,7 @@
                 1,
                 0,
                 List.of(),
-                List.<RunEnd>of(),
+                List.of(ends),
                 List.of(),
                 false);
         store.put(Tables.WORKERS, name, RowCodec.toValue(report));
@@ -306,6 +313,70 @@
                 .isEqualTo(store.get(Tables.WORKERS, "w1").join().orElseThrow().version());
     }
 
+    private void endJob() throws Exception {
+        putWorker("w1");
+        putJob("a", 1, "team", 1, 1);
+        load();
+        term.step();
+        RunEnd end = new RunEnd(1, storedOrders("w1").get(0).runs().get(0).run(), EndKind.DONE, "");
+        putReport("w1", "w1", true, end);
+        store.discardHistory(Tables.WORKERS);
+        term.step();
+        clock.advanceMs(RETENTION_MS);
+    }
+
+    private List<String> storedRowsOfJobs() {
+        return Stream.of(Tables.JOBS, Tables.PROGRESS)
+                .flatMap(t -> store.list(t).join().rows().stream())
+                .map(StoredRow::key)
+                .toList();
+    }
+
+    // Guards against a second run of a whole job, and against running a cancelled one: its rows could not be removed
+    // when
+    // it was forgotten, and were read again when the store had discarded its history.
+    @Test
+    void doesNotTakeAnEndedJobForANewOneWhenItsRowsCouldNotBeRemoved() throws Exception {
+        endJob();
+        store.failCommits(ResultCode.PLATFORM_UNAVAILABLE);
+        term.step();
+        assertThat(storedRowsOfJobs()).containsExactly("a", "a");
+
+        store.failCommits(null);
+        putReport("w1", "w1", true);
+        store.discardHistory(Tables.WORKERS);
+        store.discardHistory(Tables.JOBS);
+        term.step();
+        term.step();
+
+        assertThat(storedOrders("w1").get(0).runs()).isEmpty();
+    }
+
+    @Test
+    void removesTheRowsOfAnEndedJobAsSoonAsTheStoreAllowsIt() throws Exception {
+        endJob();
+        store.failCommits(ResultCode.PLATFORM_UNAVAILABLE);
+        term.step();
+        store.failCommits(null);
+
+        clock.advanceMs(RETENTION_MS);
+        term.step();
+
+        assertThat(storedRowsOfJobs()).isEmpty();
+    }
+
+    @Test
+    void removesRowsOfProgressThatAreLeftWithoutTheirJob() throws Exception {
+        putWorker("w1");
+        store.put(Tables.PROGRESS, "a~1", RowCodec.toValue(new ProgressRow(JobPhase.COMPLETED, List.of(), null)));
+        putJob("b", 1, "team", 1, 1);
+
+        load();
+        term.step();
+
+        assertThat(storedRowsOfJobs()).containsExactly("b", "b");
+    }
+
     private long countRuns() {
         return storedOrders(WORKERS).stream().mapToLong(o -> o.runs().size()).sum();
     }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
@@ -1,7 +1,10 @@
 package io.pollenreach.daemon.internal.store;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -22,6 +25,7 @@
     private int failingLists;
     private CompletableFuture<Void> listsHeld = CompletableFuture.completedFuture(null);
     private final Set<String> unwatched = new HashSet<>();
+    private final Map<String, List<CompletableFuture<Rows>>> waits = new HashMap<>();
 
     /** Fails every commit with a code; null ends that. */
     public synchronized void failCommits(ResultCode code) {
@@ -80,9 +84,22 @@
     /** Never answers, but as told: tests hand changes over themselves. */
     @Override
     public synchronized CompletableFuture<Rows> changes(String table, long after, long waitMs) {
-        return unwatched.remove(table)
-                ? CompletableFuture.completedFuture(new Rows(after, List.of()))
-                : new CompletableFuture<>();
+        if (unwatched.remove(table)) {
+            return CompletableFuture.completedFuture(new Rows(after, List.of()));
+        }
+        CompletableFuture<Rows> waiting = new CompletableFuture<>();
+        waits.computeIfAbsent(table, t -> new ArrayList<>()).add(waiting);
+        return waiting;
+    }
+
+    /** Ends the waits for changes of a table, so that whoever follows it reads the whole table. */
+    public void discardHistory(String table) {
+        List<CompletableFuture<Rows>> ended;
+        synchronized (this) {
+            ended = waits.getOrDefault(table, List.of());
+            waits.remove(table);
+        }
+        ended.forEach(w -> w.completeExceptionally(new PollenreachException(ResultCode.HISTORY_GONE, "as told")));
     }
 
     @Override
