Let a new job have the id of a forgotten one, and record slow starts of tests

Cause: ignored every row with the id of a job that had been forgotten within two minutes. A new job with that id would have been accepted and never run.

Change: a forgotten job is remembered by the version of its row; a row with a newer version is a new job.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -95,6 +95,7 @@
     private long lateStartsMs;
     private EmulatedAdvisor advisor;
     private volatile boolean silent;
+    private volatile String lastHeartbeat = "none was sent";
 
     /**
      * Starts a worker that announces itself to its agent.
@@ -133,6 +134,11 @@
         silent = on;
     }
 
+    /** Returns what became of the newest heartbeat whose call has ended. */
+    public String lastHeartbeat() {
+        return lastHeartbeat;
+    }
+
     /** Lets the worker start only tasks whose order carries a ticket of an advisor. */
     public synchronized void requireTickets(EmulatedAdvisor of) {
         advisor = of;
@@ -158,8 +164,11 @@
                 .put("gpu", ACCELERATORS);
         n.putArray("labels").add("a").add(rack);
         URI uri = URI.create("http://" + agentAddress + "/Instances.Heartbeat/" + instance);
+        long number = sequence;
         // An agent that is down hears the next one.
-        http.call("POST", uri, Map.of("Content-Type", "application/json"), bytes(n), CALL_TIMEOUT_MS);
+        http.call("POST", uri, Map.of("Content-Type", "application/json"), bytes(n), CALL_TIMEOUT_MS)
+                .whenComplete(
+                        (r, t) -> lastHeartbeat = "number " + number + ": " + (t == null ? "status " + r.status() : t));
     }
 
     private synchronized void tick() {
--- a/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
@@ -20,12 +20,14 @@
  * thread.
  */
 final class JobTable {
-    /** How long the id of a removed job is kept, in milliseconds; a view of the store that is older is not delivered. */
-    private static final long FORGOTTEN_IDS_KEPT_MS = 120_000;
+    /** How long a removed job is remembered, in milliseconds; an older view of the store is not delivered. */
+    private static final long REMEMBERED_MS = 120_000;
+
+    /** A removed job: the version of its row, and when it was removed. Immutable. */
+    private record Forgotten(long sequence, long removedMs) {}
 
     private final Map<String, JobProgress> byId = new LinkedHashMap<>();
-    /** When jobs were removed, by their ids. */
-    private final Map<String, Long> forgotten = new HashMap<>();
+    private final Map<String, Forgotten> forgotten = new HashMap<>();
 
     // Jobs whose rows were written in one transaction share their sequence.
     private final SortedSet<JobProgress> active = new TreeSet<>(Comparator.comparingLong(JobProgress::sequence)
@@ -82,15 +84,18 @@
         return ended;
     }
 
-    /** Removes a job, and keeps its id for a while. */
+    /** Removes a job, and remembers the version of its row for a while. */
     void forget(String id, long nowMs) {
-        byId.remove(id);
-        forgotten.values().removeIf(ms -> ms < nowMs - FORGOTTEN_IDS_KEPT_MS);
-        forgotten.put(id, nowMs);
+        JobProgress removed = byId.remove(id);
+        forgotten.values().removeIf(f -> f.removedMs() < nowMs - REMEMBERED_MS);
+        if (removed != null) {
+            forgotten.put(id, new Forgotten(removed.sequence(), nowMs));
+        }
     }
 
-    /** Tells whether a job has been removed lately. */
-    boolean wasForgotten(String id) {
-        return forgotten.containsKey(id);
+    /** Tells whether a row, by its version, is that of a job that has been removed, and not of a new one with its id. */
+    boolean wasForgotten(String id, long sequence) {
+        Forgotten f = forgotten.get(id);
+        return f != null && sequence <= f.sequence();
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -53,7 +53,7 @@
 
     /** Adds an accepted job; does nothing if it is already known or has been forgotten. */
     public void accept(BatchJob job, long sequence, long nowMs) {
-        if (jobs.get(job.id()) != null || jobs.wasForgotten(job.id())) {
+        if (jobs.get(job.id()) != null || jobs.wasForgotten(job.id(), sequence)) {
             return;
         }
         add(new JobProgress(job, sequence, nowMs), nowMs);
--- a/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
@@ -102,4 +102,21 @@
 
         assertThat(fixture.state().expired(500, 2_000)).isEmpty();
     }
+
+    @Test
+    void takesAJobWithTheIdOfAForgottenOneButNotTheForgottenOneAgain() {
+        BatchJob job = Jobs.job("a").step(Jobs.step(1, 1)).build();
+        SchedulerState state = new SchedulerState((event, pairs) -> {});
+        state.accept(job, 5, 0);
+        state.cancel("a", 0);
+        state.changes();
+        state.committed(6);
+        state.forget("a", 1_000);
+
+        state.accept(job, 5, 2_000);
+        assertThat(state.activeJobs()).isEmpty();
+        state.accept(job, 9, 2_000);
+
+        assertThat(state.activeJobs()).hasSize(1);
+    }
 }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
@@ -127,6 +127,16 @@
         signal("-HUP");
     }
 
+    /** Lets it write the stacks of all its threads to its log. */
+    void dumpThreads() throws IOException, InterruptedException {
+        signal("-QUIT");
+    }
+
+    /** Returns the TCP sockets that the kernel shows to it, one a line, with ports and states in hexadecimal. */
+    List<String> sockets() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "net", "tcp"));
+    }
+
     /** Returns the lines of its settings file. */
     List<String> settings() throws IOException {
         return Files.readAllLines(settings);
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -37,6 +37,10 @@
     private static final String PREFIX = "/jobs/";
     private static final String ADVISED_PREFIX = "/advised/";
     private static final long START_TIMEOUT_MS = 30_000;
+
+    /** Several times what a start takes, in milliseconds. */
+    private static final long SLOW_START_MS = 10_000;
+
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
     private static final int OK = 200;
 
@@ -65,10 +69,7 @@
             for (int i = 1; i <= workers; i++) {
                 c.addWorker("a" + i, "r" + (1 + (i - 1) / 3));
             }
-            Await.until(
-                    "workers are known",
-                    START_TIMEOUT_MS,
-                    () -> c.store.table("workers").size() == workers);
+            c.awaitWorkers(workers);
             for (String e : c.ingress.keySet()) {
                 Await.until(
                         e + " answers",
@@ -82,6 +83,36 @@
         }
     }
 
+    /** Waits until all workers are known; if that is slow, records what each side believes, and waits on. */
+    private void awaitWorkers(int count) throws Exception {
+        try {
+            Await.until("workers are known soon", SLOW_START_MS, () -> knownWorkers() == count);
+        } catch (AssertionError e) {
+            recordSlowStart();
+            Await.until("workers are known", START_TIMEOUT_MS - SLOW_START_MS, () -> knownWorkers() == count);
+        }
+    }
+
+    private int knownWorkers() {
+        return store.table("workers").size();
+    }
+
+    private void recordSlowStart() throws Exception {
+        List<String> lines = new ArrayList<>();
+        lines.add("workers in the store: " + store.table("workers").keySet());
+        for (String agent : agents()) {
+            Daemon daemon = daemon(agent);
+            EmulatedWorker worker = workers.get(agents().indexOf(agent));
+            lines.add(agent + " runs: " + daemon.alive() + "; last heartbeat of its worker: " + worker.lastHeartbeat());
+            lines.addAll(daemon.settings());
+            if (daemon.alive()) {
+                daemon.dumpThreads();
+                lines.addAll(daemon.sockets());
+            }
+        }
+        Files.write(directory.resolve("slow-start.txt"), lines);
+    }
+
     /** Writes a version of the operator's configuration. */
     void configure(int version, List<String> keys) {
         String config = "{\"version\":" + version + ",\"routes\":[{\"name\":\"q\",\"host\":\"" + IP
