Keep out left-out jobs and misplaced rows for the whole term

Cause: a job whose progress could not be read was left out at the load, but a later reading of the whole table, after the store had discarded its history, took it for a new job. And a row of another writer in `jobs` that names the id of a job took that job's place if it came first, as reports did before.

Change: a term remembers the jobs that it left out; a job counts only under its own id, as a report does under its agent's name. RowReader has both checks, which Term had outgrown.

Evidence: TermTest leavesOutAJobWhoseProgressCannotBeRead, now with a discarded history ("Expected size: 1 but was: 3"), and ignoresAJobThatIsStoredUnderAnotherIdThanItsOwn ("Expected size: 2 but was: 1") failed on and pass now.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -29,7 +30,6 @@
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.daemon.internal.store.Transaction;
 import io.pollenreach.internal.batch.AdviceCache;
-import io.pollenreach.internal.batch.BatchJob;
 import io.pollenreach.internal.batch.DecisionLog;
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.SchedulerState;
@@ -71,6 +71,9 @@
     private final RowRemover rowRemover;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final List<TableWatch> watches = new ArrayList<>();
+    /** Jobs whose progress is stored and could not be restored; they are not new, whenever their rows are read again. */
+    private final Set<String> rejectedJobs = new HashSet<>();
+
     private TableWatch workersWatch;
     private long heartbeatNumber;
     private long lastHeartbeatMs;
@@ -120,7 +123,7 @@
         loadJobs(jobs.join(), progress.join(), nowMs);
         Map<String, StoredRow> ordersByAgent = new HashMap<>();
         orders.forEach(o -> o.join().rows().forEach(r -> ordersByAgent.put(r.key(), r)));
-        workers.join().rows().forEach(r -> guarded(r, () -> loadWorker(r, ordersByAgent)));
+        workers.join().rows().forEach(r -> RowReader.handle(r, () -> loadWorker(r, ordersByAgent)));
         state.finishRestore(nowMs);
         follow(Tables.JOBS, jobs.join().version(), this::acceptJob);
         follow(Tables.CANCELS, cancels.join().version(), r -> state.cancel(r.key(), clock.nowMs()));
@@ -185,49 +188,19 @@
                 .computeIfAbsent(ProgressRow.jobOf(r.key()), id -> new HashMap<>())
                 .put(r.key(), RowCodec.fromRow(r, ProgressRow.class).orElse(null)));
         for (StoredRow row : jobs.rows()) {
-            RowCodec.fromRow(row, BatchJob.class).ifPresent(job -> {
+            RowReader.job(row).ifPresent(job -> {
                 Map<String, ProgressRow> rowsByKey = progressByJob.get(job.id());
                 if (rowsByKey == null) {
                     state.accept(job, row.version(), nowMs);
-                } else {
-                    guarded(row, () -> state.restore(job, row.version(), rowsByKey, nowMs));
+                } else if (!RowReader.handle(row, () -> state.restore(job, row.version(), rowsByKey, nowMs))) {
+                    rejectedJobs.add(job.id());
                 }
             });
         }
     }
 
-    /** Handles a row; one that makes no sense is logged and left out, since every later leader would read it again. */
-    private static void guarded(StoredRow row, Runnable handling) {
-        try {
-            handling.run();
-        } catch (RuntimeException e) {
-            PollenreachException failure = PollenreachException.of(e);
-            EVENTS.warn(
-                    "row-rejected",
-                    "key",
-                    row.key(),
-                    "version",
-                    row.version(),
-                    "code",
-                    failure.code().number(),
-                    "error",
-                    failure.getMessage());
-        }
-    }
-
-    /** Reads a report; empty for one that stands under another name than its agent's, which only others write. */
-    private static Optional<WorkerReport> report(StoredRow row) {
-        Optional<WorkerReport> report = RowCodec.fromRow(row, WorkerReport.class);
-        if (report.isPresent() && !report.get().agent().equals(row.key())) {
-            EVENTS.warn(
-                    "report-misplaced", "key", row.key(), "agent", report.get().agent());
-            return Optional.empty();
-        }
-        return report;
-    }
-
     private void loadWorker(StoredRow row, Map<String, StoredRow> ordersByAgent) {
-        report(row).ifPresent(report -> {
+        RowReader.report(row).ifPresent(report -> {
             StoredRow orders = ordersByAgent.get(report.agent());
             WorkerOrders restoredOrders = orders == null
                     ? WorkerOrders.none(report.incarnation())
@@ -257,7 +230,7 @@
                 if (!rows.rows().isEmpty()) {
                     inbox.add(() -> rows.rows().stream()
                             .filter(r -> !r.removed())
-                            .forEach(r -> guarded(r, () -> handler.handle(r))));
+                            .forEach(r -> RowReader.handle(r, () -> handler.handle(r))));
                 }
             }
         };
@@ -268,11 +241,13 @@
     }
 
     private void acceptJob(StoredRow row) {
-        RowCodec.fromRow(row, BatchJob.class).ifPresent(j -> state.accept(j, row.version(), clock.nowMs()));
+        RowReader.job(row)
+                .filter(j -> !rejectedJobs.contains(j.id()))
+                .ifPresent(j -> state.accept(j, row.version(), clock.nowMs()));
     }
 
     private void acceptReport(StoredRow row) {
-        report(row).ifPresent(r -> state.report(r, row.version(), clock.nowMs()));
+        RowReader.report(row).ifPresent(r -> state.report(r, row.version(), clock.nowMs()));
     }
 
     /** Waits for changes or the next tick, then makes and stores decisions. */
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -275,6 +275,12 @@
         assertThat(storedOrders("w1").get(0).runs())
                 .extracting(r -> r.run().task().job())
                 .containsExactly("b");
+
+        store.discardHistory(Tables.JOBS);
+        term.step();
+        term.step();
+
+        assertThat(storedOrders("w1").get(0).runs()).hasSize(1);
     }
 
     // Guards against a row of another writer that ends the term of every leader: its list of runs named a task that no
@@ -294,6 +300,23 @@
         assertThat(storedOrders("w1").get(0).runs()).hasSize(1);
     }
 
+    // Guards against a row of another writer that stands in for a job.
+    @Test
+    void ignoresAJobThatIsStoredUnderAnotherIdThanItsOwn() throws Exception {
+        putWorker("w1");
+        putJob("a", 1, "team", 1, 1);
+        store.put(
+                Tables.JOBS,
+                "A",
+                store.get(Tables.JOBS, "a").join().orElseThrow().value());
+        putJob("a", 1, "team", 2, 1);
+        load();
+
+        term.step();
+
+        assertThat(storedOrders("w1").get(0).runs()).hasSize(2);
+    }
+
     // Guards against a row of another writer that stands in for an agent's own.
     @Test
     void ignoresAReportThatIsStoredUnderAnotherNameThanItsAgents() throws Exception {
