--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/StateStore.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/StateStore.java
@@ -7,9 +7,10 @@
  * A transactional store of rows whose changes can be followed.
  *
  * <p>Makes each call once. Failures are {@link io.pollenreach.PollenreachException}s: {@code CONFLICT} when a condition
- * does not hold (nothing was written), {@code TOO_LARGE} when a value is larger than a row may be (nothing was sent), {@code PLATFORM_UNAVAILABLE} when surely nothing was written, {@code
- * WRITE_UNKNOWN} when a transaction may have taken effect or may yet do so, {@code HISTORY_GONE} when changes can no
- * longer be followed from a version. Implementations are safe for use by many threads.
+ * does not hold (nothing was written), {@code TOO_LARGE} when a value is larger than a row may be (nothing was sent),
+ * {@code PLATFORM_UNAVAILABLE} when surely nothing was written, {@code WRITE_UNKNOWN} when a transaction may have taken
+ * effect or may yet do so, {@code HISTORY_GONE} when changes can no longer be followed from a version. Implementations
+ * are safe for use by many threads.
  */
 public interface StateStore {
     /** Entries that one transaction may have; the platform's limit. */
