Initialise the classes of Ratpack that wait for each other

Any agent or entry could be struck at its start.

Cause: Ratpack's Status and DefaultStatus initialise each other. A server's first call begins with Status, a client's first answer with DefaultStatus; if both come at once, both threads wait for good. What was ruled out before (pools of connections, ports) had nothing to do with it; the suspicion of a deadlock of class initialisation was right, but not in our JSON classes.

Change: HttpCaller initialises both classes before its first call.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
@@ -12,6 +12,7 @@
 import io.pollenreach.ResultCode;
 import ratpack.exec.ExecController;
 import ratpack.exec.internal.DefaultExecController;
+import ratpack.http.Status;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.ReceivedResponse;
 
@@ -23,6 +24,13 @@
 public final class HttpCaller implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 8 << 20;
 
+    static {
+        // Ratpack's Status and DefaultStatus initialise each other. A server's first call begins with the one and a
+        // client's
+        // first answer with the other, and if both come at once, their threads wait for each other for good.
+        Status.OK.getCode();
+    }
+
     private final ExecController exec;
     private final HttpClient client;
 
