Log why a run was given up, with the age of its worker's report

The users' record could not tell the hypotheses apart: the line that names a task (task-lost) said worker-lost both for an expired lease and for a worker that the list of machines lacks, and named neither the worker nor the age of its last report. LossReason names each way in which a run is given up without a listed end; RunReleases is the one place where that happens.

--- /dev/null
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunReleases.java
@@ -0,0 +1,71 @@
+package io.pollenreach.internal.batch;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Gives up runs whose ends were not listed, so that their tasks may be placed again.
+ *
+ * <p>Invariant: no run is given up elsewhere. Not thread-safe: confined to the scheduler's thread.
+ */
+final class RunReleases {
+    private final SchedulerState state;
+    private final DecisionLog log;
+
+    RunReleases(SchedulerState state, DecisionLog log) {
+        this.state = state;
+        this.log = log;
+    }
+
+    /**
+     * Gives up all runs that a worker was ordered to keep.
+     *
+     * @param previousAgeMs the age of the worker's previous report, in milliseconds
+     */
+    void releaseAll(WorkerAllocations w, LossReason reason, long previousAgeMs, long nowMs) {
+        List<TaskRun> runs = w.runs();
+        w.startIncarnation();
+        state.recordChange(w);
+        log.logDecision(
+                "worker-runs-lost",
+                "worker",
+                w.name(),
+                "incarnation",
+                w.report().incarnation(),
+                "why",
+                reason.logName(),
+                "previousReportAgeMs",
+                previousAgeMs,
+                "runs",
+                runs.size());
+        for (TaskRun run : runs) {
+            JobProgress job = state.jobs().get(run.task().job());
+            if (job != null) {
+                job.find(run.task())
+                        .filter(t -> t.isPlacedAs(w.name(), run.run()))
+                        .ifPresent(t -> release(job, t, reason, Optional.of(previousAgeMs), nowMs));
+            }
+        }
+    }
+
+    /** Gives up a task's run; {@code previousAgeMs} is as above, and empty if its worker is not known. */
+    void release(JobProgress job, TaskProgress t, LossReason reason, Optional<Long> previousAgeMs, long nowMs) {
+        String worker = t.worker();
+        state.recordChange(job);
+        state.requeueWithGang(job, t, nowMs);
+        log.logDecision(
+                "task-lost",
+                "task",
+                t.id(),
+                "run",
+                t.run(),
+                "worker",
+                worker,
+                "why",
+                reason.logName(),
+                "previousReportAgeMs",
+                previousAgeMs.map(String::valueOf).orElse("unknown"),
+                "checkpoint",
+                t.checkpoint());
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -32,6 +33,7 @@
     private final Set<String> changedJobs = new LinkedHashSet<>();
     private final Set<String> changedWorkers = new LinkedHashSet<>();
     private final AdviceCache advice = new AdviceCache();
+    private final RunReleases releases;
     private Map<String, Integer> guarantees = Map.of();
     /** Whether something has changed since the last pass that may let it decide otherwise. */
     private boolean placementChanged = true;
@@ -41,6 +43,7 @@
     /** Creates an empty state that records its decisions in a log. */
     public SchedulerState(DecisionLog log) {
         this.log = log;
+        releases = new RunReleases(this, log);
     }
 
     /** Sets the number of accelerators that each workspace is guaranteed for its most urgent jobs. */
@@ -83,7 +86,7 @@
         WorkerAllocations worker = new WorkerAllocations(report, reportVersion, reportedMs);
         worker.restore(orders, ordersVersion, this::occupied, reportedMs);
         workers.add(worker);
-        applyReport(worker, report, reportVersion, reportedMs);
+        applyReport(worker, report, reportVersion, LossReason.MARKED_BEFORE, reportedMs);
     }
 
     /**
@@ -98,7 +101,7 @@
             job.tasks()
                     .filter(t -> t.state() == TaskProgress.State.PLACED && !isOrdered(t))
                     .toList()
-                    .forEach(t -> markLost(job, t, "no-orders", nowMs));
+                    .forEach(t -> releases.release(job, t, LossReason.NOT_ORDERED, Optional.empty(), nowMs));
             if (job.phase().ended()) {
                 // The job may have been cancelled while there was no leader; its workers were then added after the
                 // cancellation.
@@ -158,10 +161,23 @@
                     "worker-joined", "worker", w.name(), "incarnation", report.incarnation(), "pool", report.pool());
         }
         placementChanged |= w.placementDiffers(report, nowMs);
-        applyReport(w, report, version, nowMs);
+        applyReport(w, report, version, LossReason.MARKED_BEFORE, nowMs);
     }
 
-    private void applyReport(WorkerAllocations w, WorkerReport report, long version, long nowMs) {
+    /** Applies the mark of a worker as lost that this scheduler has stored under a version. */
+    public void declareLost(WorkerReport marked, long version, LossReason reason, long nowMs) {
+        WorkerAllocations w = workers.get(marked.agent());
+        if (w == null || version <= w.reportVersion()) {
+            return;
+        }
+        placementChanged = true;
+        applyReport(w, marked, version, reason, nowMs);
+    }
+
+    /** Applies a report; {@code lossReason} is why the worker counts as lost if the report has that mark. */
+    private void applyReport(
+            WorkerAllocations w, WorkerReport report, long version, LossReason lossReason, long nowMs) {
+        long previousAgeMs = nowMs - w.reportedMs();
         w.report().active().forEach(this::recordCheckpoint);
         w.update(report, version, nowMs);
         // The agent has already acknowledged ends that it stored before its worker was lost or restarted, so they
@@ -181,7 +197,7 @@
                         w.runs().size());
                 return;
             }
-            markRunsLost(w, "worker-restarted", nowMs);
+            releases.releaseAll(w, LossReason.PROCESS_CHANGED, previousAgeMs, nowMs);
         }
         report.active().forEach(this::recordCheckpoint);
         report.active().forEach(a -> jobs.findPlaced(a.run()).ifPresent(t -> t.recordProgress(a.percent(), nowMs)));
@@ -191,7 +207,7 @@
             }
         }
         if (report.lost()) {
-            markRunsLost(w, "worker-lost", nowMs);
+            releases.releaseAll(w, lossReason, previousAgeMs, nowMs);
             return;
         }
         for (RunningTask a : report.active()) {
@@ -219,38 +235,7 @@
         }
     }
 
-    private void markRunsLost(WorkerAllocations w, String why, long nowMs) {
-        List<TaskRun> runs = w.runs();
-        w.startIncarnation();
-        placementChanged = true;
-        changedWorkers.add(w.name());
-        log.logDecision(
-                "worker-runs-lost",
-                "worker",
-                w.name(),
-                "incarnation",
-                w.report().incarnation(),
-                "why",
-                why,
-                "runs",
-                runs.size());
-        for (TaskRun run : runs) {
-            JobProgress job = jobs.get(run.task().job());
-            if (job != null) {
-                job.find(run.task())
-                        .filter(t -> t.isPlacedAs(w.name(), run.run()))
-                        .ifPresent(t -> markLost(job, t, why, nowMs));
-            }
-        }
-    }
-
-    private void markLost(JobProgress job, TaskProgress t, String why, long nowMs) {
-        changedJobs.add(job.job().id());
-        requeueWithGang(job, t, nowMs);
-        log.logDecision("task-lost", "task", t.id(), "run", t.run(), "why", why, "checkpoint", t.checkpoint());
-    }
-
-    private void requeueWithGang(JobProgress job, TaskProgress t, long nowMs) {
+    void requeueWithGang(JobProgress job, TaskProgress t, long nowMs) {
         if (!job.spec(t.id()).gang()) {
             if (t.state() == TaskProgress.State.PLACED) {
                 t.requeue(nowMs);
@@ -355,6 +340,15 @@
         requeueWithGang(job, t, nowMs);
     }
 
+    void recordChange(JobProgress job) {
+        changedJobs.add(job.job().id());
+    }
+
+    void recordChange(WorkerAllocations worker) {
+        placementChanged = true;
+        changedWorkers.add(worker.name());
+    }
+
     /** Returns the workers. */
     public WorkerTable workers() {
         return workers;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LostWorkerDetector.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LostWorkerDetector.java
@@ -8,6 +8,7 @@
 
 import io.pollenreach.PollenreachException;
 import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.internal.batch.LossReason;
 import io.pollenreach.internal.batch.WorkerReport;
 import io.pollenreach.internal.batch.WorkerTable;
 
@@ -47,7 +48,7 @@
     private static final Events EVENTS = Events.of(LostWorkerDetector.class);
 
     /** A lost worker's last report, and the reason why the worker counts as lost. Immutable. */
-    record Loss(WorkerReport report, String reason) {}
+    record Loss(WorkerReport report, LossReason reason) {}
 
     /** Unresponsive workers, and the registry's pending response about them. Immutable. */
     private record RegistryQuery(List<WorkerReport> suspects, CompletableFuture<Set<String>> existing) {}
@@ -73,7 +74,7 @@
     List<Loss> find(LongPredicate storeAvailableFor, long nowMs) {
         List<Loss> found = new ArrayList<>();
         if (storeAvailableFor.test(REPORT_GRACE_PERIOD_MS)) {
-            workers.unresponsiveFor(lostAfterMs, nowMs).forEach(r -> found.add(new Loss(r, "silent")));
+            workers.unresponsiveFor(lostAfterMs, nowMs).forEach(r -> found.add(new Loss(r, LossReason.LEASE_EXPIRED)));
         }
         if (pendingQuery != null && pendingQuery.existing().isDone()) {
             findUnregistered(nowMs).stream()
@@ -122,7 +123,7 @@
         List<WorkerReport> stillUnresponsive = workers.unresponsiveFor(SUSPECT_TIMEOUT_MS, nowMs);
         return pendingQuery.suspects().stream()
                 .filter(s -> stillUnresponsive.contains(s) && !existing.contains(s.instance()))
-                .map(s -> new Loss(s, "unregistered"))
+                .map(s -> new Loss(s, LossReason.UNREGISTERED))
                 .toList();
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -31,6 +31,7 @@
 import io.pollenreach.daemon.internal.store.Transaction;
 import io.pollenreach.internal.batch.AdviceCache;
 import io.pollenreach.internal.batch.DecisionLog;
+import io.pollenreach.internal.batch.LossReason;
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.SchedulerState;
 import io.pollenreach.internal.batch.StateChanges;
@@ -319,7 +320,7 @@
         return leader.healthyFor(forMs) && workersWatch.healthyFor(0);
     }
 
-    private void declareLost(WorkerReport report, String reason, long nowMs) throws InterruptedException {
+    private void declareLost(WorkerReport report, LossReason reason, long nowMs) throws InterruptedException {
         WorkerReport lost = report.withLostMark();
         long reportVersion = state.workers().reportVersion(report.agent());
         Transaction tx = newTermTransaction()
@@ -336,8 +337,8 @@
                     "report",
                     reportVersion,
                     "why",
-                    reason);
-            state.report(lost, lostVersion, nowMs);
+                    reason.logName());
+            state.declareLost(lost, lostVersion, reason, nowMs);
         } catch (RuntimeException e) {
             PollenreachException failure = PollenreachException.of(e);
             if (failure.code() != ResultCode.CONFLICT) {
