Show that the list of machines frees runs under a valid lease

The log has worker-declared-lost why=unregistered 1.87 s after the placement, and run 2 began 1.88 s after run 1, where the lease had 4 s to go. Nobody listed the end of run 1, as in the users' record.

--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 
 import io.pollenreach.bench.emulator.EmulatedAdvisor;
+import io.pollenreach.bench.emulator.EmulatedMachines;
 import io.pollenreach.bench.emulator.EmulatedStore;
 import io.pollenreach.bench.emulator.EmulatedWorker;
 import io.pollenreach.bench.emulator.RunRecord;
@@ -47,6 +48,7 @@
     private final Path directory;
     private final EmulatedStore store = new EmulatedStore(IP);
     private final EmulatedAdvisor advisor = new EmulatedAdvisor(IP, Set.of("i-a2"));
+    private final EmulatedMachines machines = new EmulatedMachines(IP);
     private final RunRecord record = new RunRecord();
     private final Map<String, Daemon> daemons = new LinkedHashMap<>();
     private final Map<String, String> ingress = new LinkedHashMap<>();
@@ -138,6 +140,7 @@
         String heartbeats = Ports.freeAddress();
         EmulatedWorker worker = new EmulatedWorker(IP, "i-" + name, rack, heartbeats, record);
         workers.add(worker);
+        machines.add("i-" + name);
         List<String> lines = common(name);
         lines.add("listen-addresses.control=" + heartbeats);
         lines.add("app=" + IP + ":" + worker.port());
@@ -156,6 +159,7 @@
                 "ip-address=" + IP,
                 "platform.address=" + IP + ":" + store.port(),
                 "advice=" + IP + ":" + advisor.port(),
+                "cloud-api.address=" + IP + ":" + machines.port(),
                 "bounds.max-hold-ms=6000",
                 "bounds.revocation-ms=5000",
                 "bounds.grace-period-s=6",
@@ -166,6 +170,10 @@
         return store;
     }
 
+    EmulatedMachines machines() {
+        return machines;
+    }
+
     RunRecord record() {
         return record;
     }
@@ -255,5 +263,6 @@
         workers.forEach(EmulatedWorker::close);
         store.close();
         advisor.close();
+        machines.close();
     }
 }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/WorkerIdentityTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/WorkerIdentityTest.java
@@ -129,6 +129,20 @@
         assertThat(cluster.record().violations()).isEmpty();
     }
 
+    // Guards against two runs at once: an agent fell silent, and the runs of its worker started elsewhere as soon as
+    // the
+    // platform's list of machines lacked the worker, though its lease had seconds to go.
+    @Test
+    void keepsTheRunOfASilentAgentsWorkerThatTheListOfMachinesLacks() throws Exception {
+        Daemon agent = agentOfTheOnlyRun();
+
+        agent.kill();
+        cluster.machines().remove("i-" + agent.name());
+
+        cluster.awaitState(JOB, "completed", END_MS);
+        assertThat(cluster.record().violations()).isEmpty();
+    }
+
     private boolean isTaken(Daemon agent) throws Exception {
         try {
             return heartbeat(agent, "i-earlier", "pool", 1_000) == OK;
