--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -177,6 +177,7 @@
         for (Run r : List.copyOf(running.values())) {
             r.doneMs += TICK_MS;
             if (lapsed) {
+                record.lapsed(r.task);
                 end(r, "lapsed");
             } else if (nowMs >= r.stopAtMs) {
                 end(r, "stopped");
--- a/bench/src/main/java/io/pollenreach/bench/emulator/RunRecord.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/RunRecord.java
@@ -16,6 +16,7 @@
     private final Map<String, String> runningWhere = new HashMap<>();
     private final Set<String> doneAndNoted = new HashSet<>();
     private final Map<String, Integer> starts = new HashMap<>();
+    private final Map<String, Integer> lapses = new HashMap<>();
     private final Map<String, Set<String>> startedOn = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
 
@@ -38,6 +39,11 @@
         runningWhere.remove(task);
     }
 
+    /** Records that a run ended because its lease ran out. */
+    synchronized void lapsed(String task) {
+        lapses.merge(task, 1, Integer::sum);
+    }
+
     synchronized void noted(String task) {
         doneAndNoted.add(task);
     }
@@ -47,6 +53,11 @@
         return starts.getOrDefault(task, 0);
     }
 
+    /** Returns how many runs of a task ended because their lease ran out. */
+    public synchronized int lapses(String task) {
+        return lapses.getOrDefault(task, 0);
+    }
+
     /** Returns the workers on which a task was started. */
     public synchronized Set<String> workers(String task) {
         return Set.copyOf(startedOn.getOrDefault(task, Set.of()));
