Give up a crashed worker's runs when nothing listens at its address

What callers saw: with leases alone, the tasks of a worker that crashed beside its agent wait 6.3 s for a second start.

Cause: only a worker that had said that it leaves was taken for ended when its address refused connections; a worker that crashed without a word was polled until its lease had surely expired.

Change: the agent, the only one who may call the worker, registers that it has no worker after two polls in a row for which nothing listened at the worker's address. A connection that times out or breaks shows nothing, as before. This is a proof by the worker's own machine, which the list of machines was not.

Evidence: WorkerIdentityTest.startsTheRunOfACrashedWorkerElsewhereOnceItsAddressRefusesConnections failed before (the agent's log had no worker-left) and passes now, with the five other tests of the class (6 run, 0 failed, at a load of 50).

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -46,6 +46,9 @@
      */
     public static final long ORDERS_WAIT_MS = 1_200;
 
+    /** Polls in a row whose connection was refused, after which no process of the worker is up. */
+    private static final int MIN_REFUSED_POLLS = 2;
+
     private static final long TICK_MS = 100;
     private static final long RETRY_MS = 150;
     private static final Events EVENTS = Events.of(BatchAgent.class);
@@ -287,6 +290,7 @@
             return;
         }
         inc.replaced = false;
+        inc.refusedPolls = 0;
         inc.polledMs = clock.nowMs();
         inc.runnerClockMs = view.clockMs();
         if (inc.runs.take(view, sentMs)) {
@@ -323,9 +327,15 @@
             claim();
             return;
         }
-        boolean ended = e.code() == ResultCode.PEER_UNREACHABLE || e.code() == ResultCode.NOT_FOUND;
-        if (leaving && ended) {
-            EVENTS.info("worker-left", "instance", facts.instance());
+        if (hasEnded(inc, e)) {
+            EVENTS.info(
+                    "worker-left",
+                    "instance",
+                    facts.instance(),
+                    "announced",
+                    leaving,
+                    "code",
+                    e.code().number());
             leaving = false;
             facts = facts.withoutProcess();
             claim();
@@ -335,6 +345,16 @@
         later(() -> poll(inc));
     }
 
+    /** Tells whether a failed poll shows that the worker process has ended, and with it all its runs. */
+    private boolean hasEnded(Incarnation inc, PollenreachException e) {
+        if (e.code() == ResultCode.PEER_UNREACHABLE) {
+            inc.refusedPolls++;
+            return leaving || inc.refusedPolls >= MIN_REFUSED_POLLS;
+        }
+        inc.refusedPolls = 0;
+        return leaving && e.code() == ResultCode.NOT_FOUND;
+    }
+
     private void tick() {
         Incarnation inc = incarnation;
         if (inc == null) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
@@ -37,6 +37,9 @@
     /** Whether another process answered at the worker's address, so that this one has ended. */
     boolean replaced;
 
+    /** How many polls in a row found nothing that listens at the worker's address. */
+    int refusedPolls;
+
     boolean polling;
     boolean reporting;
     boolean reportSoon = true;
--- a/systemtest/src/test/java/io/pollenreach/systemtest/WorkerIdentityTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/WorkerIdentityTest.java
@@ -144,6 +144,20 @@
         assertThat(cluster.record().violations()).isEmpty();
     }
 
+    // Guards against waiting for the lease of a worker that crashed beside its agent: nothing listens at its address.
+    @Test
+    void startsTheRunOfACrashedWorkerElsewhereOnceItsAddressRefusesConnections() throws Exception {
+        Daemon agent = agentOfTheOnlyRun();
+
+        cluster.workers().get(cluster.agents().indexOf(agent.name())).close();
+
+        cluster.awaitState(JOB, "completed", END_MS);
+        assertThat(cluster.record().starts(TASK)).isEqualTo(2);
+        assertThat(cluster.record().violations()).isEmpty();
+        assertThat(agent.log()).contains("event=worker-left instance=i-" + agent.name() + " announced=false");
+        assertThat(cluster.daemon("e1").log()).contains("why=process-changed");
+    }
+
     private boolean isTaken(Daemon agent) throws Exception {
         try {
             return heartbeat(agent, "i-earlier", "pool", 1_000) == OK;
