Read on past a job's row that cannot be read

What callers saw: one row of table jobs that an entry cannot read (null, another JSON type, a state that it does not know, a part that is null) made each poll of each entry fail, so that after 3 s nothing was placed any more and no change by another entry was seen. A row that parses but lacks its declaration or its state ended each planning cycle instead.

Cause: JobStore.poll stopped at the first row that could not be parsed and did not advance its revision; a record without fields was taken into the job table.

Change: a row is parsed by itself and must be the complete record of its key. One that is not is logged once per version (row-unreadable) and its job is forgotten until a readable version comes. Parts of such a job are neither stopped nor counted as ended; the agents refuse placements for which the accelerators are not free.

--- a/core/src/main/java/io/pollenreach/internal/jobs/JobRecord.java
+++ b/core/src/main/java/io/pollenreach/internal/jobs/JobRecord.java
@@ -57,6 +57,16 @@
                 spec, JobState.WAITING, 0, "", List.of(), false, 0, null, 0, "submitted", wallMs, wallMs, 0, 0);
     }
 
+    /** Tells whether a record that was read from a row has all fields that its state and the transitions need. */
+    public boolean complete() {
+        boolean declared = spec != null && spec.workspace() != null && spec.name() != null && spec.shape() != null;
+        if (!declared || state == null || nonce == null) {
+            return false;
+        }
+        boolean located = parts.stream().allMatch(p -> p.worker() != null && p.address() != null);
+        return located && state.placed() != parts.isEmpty() && (state == JobState.STOPPING) == (stopReason != null);
+    }
+
     /** Returns the id of the newest attempt. */
     @JsonIgnore
     public AttemptId attemptId() {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobStore.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/JobStore.java
@@ -11,6 +11,7 @@
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
+import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.services.Row;
 import io.pollenreach.daemon.internal.services.RowList;
 import io.pollenreach.daemon.internal.services.Table;
@@ -22,9 +23,10 @@
  * Reads and writes the stored rows of jobs, and updates the blackboard's job table with what it reads and writes.
  *
  * <p>Invariant: every change of a row is a compare-and-set on its version, and a write whose response was lost is
- * resolved by reading the row back. Safe for use by many threads; it holds no lock.
+ * resolved by reading the row back; a row that cannot be read hides no other. Safe for use by many threads; it holds no lock.
  */
 final class JobStore {
+    private static final Events EVENTS = Events.of(JobStore.class);
     private static final String ENDED_TABLE = "ended";
 
     private final Table table;
@@ -134,21 +136,36 @@
             if (r.deleted()) {
                 jobs.remove(r.key(), r.version());
             } else {
-                cache(r);
+                cacheIfReadable(r);
             }
         }
         jobs.advanceRevision(list.revision());
     }
 
+    /** Forgets the job of an unreadable row, so that nothing is decided by an earlier version of the row. */
+    private void cacheIfReadable(Row r) {
+        try {
+            cache(r);
+        } catch (PollenreachException e) {
+            EVENTS.warn("row-unreadable", "table", JobTable.TABLE, "key", r.key(), "why", e.getMessage());
+            jobs.remove(r.key(), r.version());
+        }
+    }
+
     private JobRow cache(Row r) {
         return cache(r.key(), r.version(), parse(r));
     }
 
     private static JobRecord parse(Row r) {
+        JobRecord record;
         try {
-            return Json.lenient().treeToValue(r.value(), JobRecord.class);
+            record = Json.lenient().treeToValue(r.value(), JobRecord.class);
         } catch (JsonProcessingException e) {
             throw new PollenreachException(ResultCode.MALFORMED, null, "row " + r.key() + ": " + e.getMessage(), e);
         }
+        if (record == null || !record.complete() || !record.spec().key().equals(r.key())) {
+            throw new PollenreachException(ResultCode.MALFORMED, "row " + r.key() + ": not the record of this job");
+        }
+        return record;
     }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/JobStoreTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/JobStoreTest.java
@@ -12,10 +12,14 @@
 import io.pollenreach.Shape;
 import io.pollenreach.Urgency;
 import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
+import io.pollenreach.daemon.internal.services.Write;
 import io.pollenreach.internal.jobs.JobRecord;
+import io.pollenreach.internal.json.Json;
 import io.pollenreach.internal.wire.AttemptId;
 import io.pollenreach.internal.wire.Part;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -69,6 +73,21 @@
                 .satisfies(t -> assertThat(codeOf(t)).isEqualTo(ResultCode.CONFLICT));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"null", "[]", "7", "{}", "{\"spec\": {}, \"state\": \"WAITING\"}", "{\"state\": \"UNHEARD\"}"})
+    void oneUnreadableRowDoesNotHideTheOthers(String unreadable) throws Exception {
+        table.put(new Write(JobTable.TABLE, "tejo/odd", 0, Json.lenient().readTree(unreadable)))
+                .join();
+        store.create(JobRecord.submit(SPEC, 1)).join();
+        JobTable elsewhere = new JobTable();
+        new JobStore(table, elsewhere, new ManualClock()).poll().join();
+        assertThat(elsewhere.list(r -> !r.record().state().placed()))
+                .extracting(JobRow::key)
+                .containsExactly(SPEC.key());
+        assertThat(elsewhere.revision()).isEqualTo(2);
+    }
+
     static ResultCode codeOf(Throwable t) {
         return PollenreachException.of(t instanceof CompletionException ? t.getCause() : t)
                 .code();
