Count no silence of workers while the entry itself was paused

What callers saw: an entry that was stopped for more than 36 s and went on declared every running attempt lost, since it had heard no worker meanwhile. Rows that had not changed went to STOPPING (PART_LOST, which counts as a lost attempt), and where the order to stop did not reach the agent at once, the same silence counted as the proof that its lease had expired: the job was started elsewhere, or a cancelled one reported as ended, while its task ran under a valid lease.

Cause: PartViews.leaseExpired compared the time at which a worker was last heard with a clock that goes on while the process is stopped.

Change: ListeningTime tells since when the entry has run without a gap of 2 s; the 36 s count from then at the earliest. It is asked with each round of heartbeats and by leaseExpired itself, so that the first decision after a pause sees it.

Evidence: SupervisorTest keepsTheRunsOfWorkersThatThisEntryDidNotHearWhileItWasPaused failed with "expected: RUNNING but was: WAITING" and confirmsNoStopByTheSilenceOfWorkersWhileThisEntryWasPaused with "expected: STOPPING but was: CANCELLED"; both pass now, and endsAnAttemptOfAWorkerThatWasSilentForLong passes before and after.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Blackboard.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Blackboard.java
@@ -3,6 +3,7 @@
 import io.pollenreach.Clock;
 import io.pollenreach.internal.claims.RequestTable;
 import io.pollenreach.internal.membership.EntryView;
+import io.pollenreach.internal.membership.ListeningTime;
 import io.pollenreach.internal.membership.TargetTable;
 
 /**
@@ -19,12 +20,14 @@
     private final AgentVersions agentVersions = new AgentVersions();
     private final EntryView entries;
     private final RequestTable requests;
+    private final ListeningTime listening;
     private final long startedMs;
 
     Blackboard(EntryView entries, Clock clock) {
         this.entries = entries;
         this.requests = new RequestTable(clock);
         this.startedMs = clock.nowMs();
+        this.listening = new ListeningTime(startedMs);
     }
 
     ConfigTable config() {
@@ -62,6 +65,11 @@
                 id -> targets.usable(id, nowMs) && entries.homeOf(id, nowMs).equals(self));
     }
 
+    /** Notes that this process runs now, and returns since when it has been able to hear others without a pause. */
+    long listeningSinceMs(long nowMs) {
+        return listening.sinceMs(nowMs);
+    }
+
     /** Returns the monotonic time at which this process started. */
     long startedMs() {
         return startedMs;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -190,6 +190,7 @@
     }
 
     private void sendHeartbeats() {
+        blackboard.listeningSinceMs(clock.nowMs());
         blackboard.entries().learn(settings.peers(), clock.nowMs());
         membership.beat();
         blackboard.targets().sweep(clock.nowMs());
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PartViews.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PartViews.java
@@ -42,10 +42,15 @@
         return row.record().parts().stream().map(p -> of(row, p)).toList();
     }
 
-    /** Tells whether a worker has been without contact for so long that the leases of its tasks have expired. */
+    /**
+     * Tells whether a worker has been without contact for so long that the leases of its tasks have expired. Time in
+     * which this entry could not hear it does not count.
+     */
     boolean leaseExpired(String worker) {
-        long lastContactMs = blackboard.targets().heardMs(worker).orElse(blackboard.startedMs());
-        return clock.nowMs() - Math.max(lastContactMs, blackboard.startedMs()) > LEASE_EXPIRED_AFTER_MS;
+        long nowMs = clock.nowMs();
+        long listeningMs = blackboard.listeningSinceMs(nowMs);
+        long lastContactMs = blackboard.targets().heardMs(worker).orElse(listeningMs);
+        return nowMs - Math.max(lastContactMs, listeningMs) > LEASE_EXPIRED_AFTER_MS;
     }
 
     private PartView of(JobRow row, Part part) {
