Answer only the agent of a name that started last

One heartbeat of a later started process under a worker's name (a second agent with the same settings, or one on another machine) made the announcements of the running worker count for nothing. It was answered all the same, so its agent let its tasks run, while each entry counted the silence of the stranger: after 36 s the worker's leases counted as expired and, where the order to stop did not reach it, its jobs were started elsewhere while it ran them.

Cause: AgentHeartbeatHandler answered whatever came, and an answer is what an agent's limit of 30 s without an entry counts from. Only the newest incarnation counts for the entry's side of that limit.

Evidence: SupervisorTest.givesUpNoWorkerWhoseHeartbeatsItAnswersAfterOneOfAStranger failed before: the job had gone on to WAITING 0 ms after the last answered heartbeat of its worker instead of more than 36,000 ms. It passes now.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/AgentHeartbeatHandler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/AgentHeartbeatHandler.java
@@ -23,7 +23,8 @@
 /**
  * Answers the heartbeats of agents.
  *
- * <p>Invariant: an agent is told that an attempt is settled only when the job's row shows that the attempt is over.
+ * <p>Invariants: an agent is told that an attempt is settled only when the job's row shows that the attempt is over; of
+ * one name only the agent that started last is answered, as far as this entry knows.
  * Safe for use by many threads.
  */
 final class AgentHeartbeatHandler {
@@ -41,9 +42,15 @@
         this.runnersChanged = runnersChanged;
     }
 
-    /** Records the state that an agent reports and returns the response to its heartbeat. */
+    /**
+     * Records the state that an agent reports and returns the response to its heartbeat.
+     *
+     * <p>Fails with {@code CONFLICT} when a later started agent has announced itself under the same name: the older one
+     * would otherwise let its tasks run, while the silence of the later one ends their leases here.
+     */
     HeartbeatReply handle(Heartbeat beat) {
         TargetInfo target = beat.target();
+        rejectSuperseded(target);
         if (beat.leaving()) {
             left(target);
         } else {
@@ -52,6 +59,15 @@
         return reply(beat);
     }
 
+    private void rejectSuperseded(TargetInfo target) {
+        Optional<TargetInfo> known = board.targets().lastKnown(target.id());
+        if (known.filter(k -> k.incarnation() > target.incarnation()).isPresent()) {
+            throw new PollenreachException(
+                    ResultCode.CONFLICT,
+                    "a later started agent at " + known.get().address() + " announces itself as " + target.id());
+        }
+    }
+
     private void left(TargetInfo target) {
         boolean known = board.targets().left(target.id(), clock.nowMs());
         board.agentVersions().forget(target.id());
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/SupervisorTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/SupervisorTest.java
@@ -1,9 +1,11 @@
 package io.pollenreach.daemon.internal.entry;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.pollenreach.JobState;
 import io.pollenreach.ManualClock;
+import io.pollenreach.PollenreachException;
 import io.pollenreach.daemon.internal.entry.JobTable.JobRow;
 import io.pollenreach.internal.jobs.JobRecord;
 import io.pollenreach.internal.jobs.StopReason;
@@ -23,6 +25,7 @@
 class SupervisorTest {
     private static final long BEAT_MS = 500;
     private static final String ADDRESS = "10.0.0.1:1";
+    private static final String OTHER_ADDRESS = "10.0.0.2:1";
     private static final AttemptId ID = new AttemptId(JobStoreTest.SPEC.key(), 1, "n");
     private static final PartReport RUNNING = new PartReport(ID, 0, PartState.RUNNING, 4, "");
 
@@ -60,6 +63,30 @@
         assertThat(job().state()).isEqualTo(JobState.STOPPING);
     }
 
+    @Test
+    void givesUpNoWorkerWhoseHeartbeatsItAnswersAfterOneOfAStranger() {
+        runJob();
+        beat(2, OTHER_ADDRESS, List.of());
+        AtomicLong answeredMs = new AtomicLong(clock.nowMs());
+        listen(PartViews.LEASE_EXPIRED_AFTER_MS + BEAT_MS, () -> {
+            if (answersBeatOfRunningWorker()) {
+                answeredMs.set(clock.nowMs());
+            }
+        });
+        supervise();
+        assertThat(job().state()).isEqualTo(JobState.WAITING);
+        assertThat(clock.nowMs() - answeredMs.get()).isGreaterThan(PartViews.LEASE_EXPIRED_AFTER_MS);
+    }
+
+    private boolean answersBeatOfRunningWorker() {
+        try {
+            beat(1, ADDRESS, List.of(RUNNING));
+            return true;
+        } catch (PollenreachException e) {
+            return false;
+        }
+    }
+
     private void runJob() {
         beat(1, ADDRESS, List.of(RUNNING));
         JobRow row = store.create(JobRecord.submit(JobStoreTest.SPEC, 1)).join();
