--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PartViews.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PartViews.java
@@ -42,10 +42,18 @@
         return row.record().parts().stream().map(p -> of(row, p)).toList();
     }
 
-    /** Tells whether a worker has been without contact for so long that the leases of its tasks have expired. */
-    boolean leaseExpired(String worker) {
-        long lastContactMs = blackboard.targets().heardMs(worker).orElse(blackboard.startedMs());
-        return clock.nowMs() - Math.max(lastContactMs, blackboard.startedMs()) > LEASE_EXPIRED_AFTER_MS;
+    /**
+     * Tells whether the agent of a part has been without contact for so long that the lease of its task has expired.
+     *
+     * <p>Time in which this entry could not hear it does not count. An agent that was started later under the name of
+     * the worker and at another address does not keep the part's lease, since from then on only that one is answered.
+     */
+    boolean leaseExpired(Part part) {
+        long nowMs = clock.nowMs();
+        long listeningMs = blackboard.listeningSinceMs(nowMs);
+        long lastContactMs =
+                blackboard.targets().heardMs(part.worker(), part.address()).orElse(listeningMs);
+        return nowMs - Math.max(lastContactMs, listeningMs) > LEASE_EXPIRED_AFTER_MS;
     }
 
     private PartView of(JobRow row, Part part) {
@@ -54,7 +62,7 @@
         if (report.isPresent() && report.get().state().ended()) {
             return view(report.get().state());
         }
-        if (leaseExpired(part.worker())) {
+        if (leaseExpired(part)) {
             return PartView.LAPSED;
         }
         if (report.isPresent()) {
