End attempts whose worker started again at another address

What callers saw: a job that ran when its worker's agent died and was started again under the same name at another address stayed in STOPPING for ever, and its accelerators counted as in use. Its agent could not confirm the stop, and the lease of its task never counted as expired, since the worker was heard, from its new address.

Cause: PartViews.leaseExpired asked when the worker was last heard, not when the agent at the part's address was.

Change: TargetTable.heardMs takes the address. For an address that the worker has left, the time is that at which the next one was first noted; from then on entries answer only the later agent, so the earlier one, if it still runs somewhere, stops its tasks. The job leaves STOPPING 36 s after that, or when the earlier agent confirms.

Evidence: SupervisorTest.endsAnAttemptWhoseWorkerStartedAgainAtAnotherAddress failed before with "expected: WAITING but was: STOPPING" 37 s after the start at the other address; it passes now and shows that nothing is decided before 36 s.

--- a/core/src/main/java/io/pollenreach/internal/membership/TargetTable.java
+++ b/core/src/main/java/io/pollenreach/internal/membership/TargetTable.java
@@ -87,7 +87,7 @@
         }
         changes++;
         long heardMs = home.equals(HERE) ? known.heardMs : nowMs;
-        targets.put(id, new Known(known.info, heardMs, home, true, changes));
+        targets.put(id, new Known(known.info, heardMs, known.addressSinceMs, home, true, changes));
         return true;
     }
 
@@ -128,6 +128,19 @@
         return Optional.ofNullable(targets.get(id)).map(this::heardMs);
     }
 
+    /**
+     * Returns when a target was last known to live at an address: for an earlier address, when it was first noted at
+     * the next one.
+     */
+    public synchronized Optional<Long> heardMs(String id, String address) {
+        Known known = targets.get(id);
+        if (known == null) {
+            return Optional.empty();
+        }
+        boolean moved = !known.info.address().equals(address);
+        return Optional.of(moved ? known.addressSinceMs : heardMs(known));
+    }
+
     /**
      * Lists what changed among the targets that announce themselves to this entry.
      *
@@ -154,7 +167,7 @@
         for (Known k : List.copyOf(targets.values())) {
             if (!k.gone && k.home.equals(HERE) && !live(k, nowMs)) {
                 changes++;
-                targets.put(k.info.id(), new Known(k.info, k.heardMs, HERE, true, changes));
+                targets.put(k.info.id(), new Known(k.info, k.heardMs, k.addressSinceMs, HERE, true, changes));
             }
         }
         targets.values().removeIf(k -> nowMs - heardMs(k) >= TARGET_FORGET_MS);
@@ -171,7 +184,9 @@
             changes++;
         }
         long change = material ? changes : known.change;
-        targets.put(info.id(), new Known(info, nowMs, home, false, change));
+        boolean moved = known == null || !known.info.address().equals(info.address());
+        long addressSinceMs = moved ? nowMs : known.addressSinceMs;
+        targets.put(info.id(), new Known(info, nowMs, addressSinceMs, home, false, change));
         return material;
     }
 
@@ -193,5 +208,5 @@
     /**
      * The newest announcement of one target, where it came from, and the last change that matters to peers. Immutable.
      */
-    private record Known(TargetInfo info, long heardMs, String home, boolean gone, long change) {}
+    private record Known(TargetInfo info, long heardMs, long addressSinceMs, String home, boolean gone, long change) {}
 }
--- a/core/src/test/java/io/pollenreach/internal/membership/TargetTableTest.java
+++ b/core/src/test/java/io/pollenreach/internal/membership/TargetTableTest.java
@@ -103,6 +103,22 @@
         assertThat(table.usable("t", 0)).isFalse();
     }
 
+    @Test
+    void targetIsNotHeardAtTheAddressThatItLeft() {
+        table.announced(target("t", 1, 1), 0);
+        table.announced(movedTarget(1), 700);
+        table.announced(movedTarget(2), 900);
+        table.sweep(900 + TargetTable.TARGET_SILENCE_MS);
+        assertThat(table.heardMs("t", "127.0.0.1:1")).contains(700L);
+        assertThat(table.heardMs("t", "127.0.0.1:2")).contains(900L);
+        assertThat(table.heardMs("u", "127.0.0.1:2")).isEmpty();
+    }
+
+    private static TargetInfo movedTarget(long sequence) {
+        return new TargetInfo(
+                "t", 2, sequence, TargetKind.WORKER, "", "z1", "r1", "127.0.0.1:2", 8, 0, Load.NONE, false);
+    }
+
     static TargetInfo target(String id, long incarnation, long sequence) {
         return new TargetInfo(
                 id, incarnation, sequence, TargetKind.WORKER, "", "z1", "r1", "127.0.0.1:1", 8, 0, Load.NONE, false);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PartViews.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/PartViews.java
@@ -43,13 +43,16 @@
     }
 
     /**
-     * Tells whether a worker has been without contact for so long that the leases of its tasks have expired. Time in
-     * which this entry could not hear it does not count.
+     * Tells whether the agent of a part has been without contact for so long that the lease of its task has expired.
+     *
+     * <p>Time in which this entry could not hear it does not count. An agent that was started later under the name of
+     * the worker and at another address does not keep the part's lease, since from then on only that one is answered.
      */
-    boolean leaseExpired(String worker) {
+    boolean leaseExpired(Part part) {
         long nowMs = clock.nowMs();
         long listeningMs = blackboard.listeningSinceMs(nowMs);
-        long lastContactMs = blackboard.targets().heardMs(worker).orElse(listeningMs);
+        long lastContactMs =
+                blackboard.targets().heardMs(part.worker(), part.address()).orElse(listeningMs);
         return nowMs - Math.max(lastContactMs, listeningMs) > LEASE_EXPIRED_AFTER_MS;
     }
 
@@ -59,7 +62,7 @@
         if (report.isPresent() && report.get().state().ended()) {
             return view(report.get().state());
         }
-        if (leaseExpired(part.worker())) {
+        if (leaseExpired(part)) {
             return PartView.LAPSED;
         }
         if (report.isPresent()) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Supervisor.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Supervisor.java
@@ -119,7 +119,7 @@
 
     private boolean hasStopped(PartResult r) {
         boolean confirmed = r.report().filter(a -> a.state().ended()).isPresent();
-        return confirmed || views.leaseExpired(r.part().worker());
+        return confirmed || views.leaseExpired(r.part());
     }
 
     private CompletableFuture<Void> recordEnd(JobRow row, List<PartResult> results) {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/SupervisorTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/SupervisorTest.java
@@ -63,6 +63,18 @@
         assertThat(job().state()).isEqualTo(JobState.STOPPING);
     }
 
+    @Test
+    void endsAnAttemptWhoseWorkerStartedAgainAtAnotherAddress() {
+        runJob();
+        beat(2, OTHER_ADDRESS, List.of());
+        listen(PartViews.LEASE_EXPIRED_AFTER_MS - BEAT_MS, () -> beat(2, OTHER_ADDRESS, List.of()));
+        supervise();
+        assertThat(job().state()).isEqualTo(JobState.STOPPING);
+        listen(2 * BEAT_MS, () -> beat(2, OTHER_ADDRESS, List.of()));
+        supervise();
+        assertThat(job().state()).isEqualTo(JobState.WAITING);
+    }
+
     @Test
     void givesUpNoWorkerWhoseHeartbeatsItAnswersAfterOneOfAStranger() {
         runJob();
