Show with processes that a paused entry keeps the runs it did not hear

Change: JobsReachTheirEndTest.entryThatWasPausedKeepsTheRunsOfWorkersThatItDidNotHear stops one of two entries for 38 s while four jobs run, lets it go on, and expects the four runs to go on.

--- a/systemtest/src/test/java/io/pollenreach/systemtest/JobsReachTheirEndTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/JobsReachTheirEndTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 /** Jobs under failures: each reaches its end, and its parts run together or not at all. */
 @Timeout(120)
 class JobsReachTheirEndTest {
@@ -18,6 +20,8 @@
     private static final long END_TIMEOUT_MS = 45_000;
     private static final long OUTAGE_MS = 2_000;
     private static final int LOST_PERCENT = 20;
+    /** Longer than the silence after which a worker's leases have expired. */
+    private static final long LONG_PAUSE_MS = 38_000;
 
     private final SubmittedJobs jobs = new SubmittedJobs();
 
@@ -115,6 +119,22 @@
         }
     }
 
+    @Test
+    void entryThatWasPausedKeepsTheRunsOfWorkersThatItDidNotHear() throws Exception {
+        try (Cluster cluster = start("jobs-entry-paused", 28)) {
+            for (int i = 0; i < WORKERS; i++) {
+                jobs.submit(cluster, WORKSPACE, "long-" + i, 1, ACCELERATORS_PER_PART, "sleep:120000");
+            }
+            Await.until("every job runs", END_TIMEOUT_MS, () -> running(cluster) == WORKERS);
+            cluster.daemon("e1").freeze();
+            Thread.sleep(LONG_PAUSE_MS);
+            cluster.daemon("e1").thaw();
+            Thread.sleep(OUTAGE_MS);
+            assertThat(TaskRun.of(cluster.platformHistory())).hasSize(WORKERS);
+            assertThat(running(cluster)).isEqualTo(WORKERS);
+        }
+    }
+
     private static Cluster start(String name, long seed) throws Exception {
         Cluster cluster = Cluster.start(name, 2, WORKERS, 0, seed);
         cluster.addWorkspace(WORKSPACE, 2, ACCELERATORS_PER_PART);
