Refuse heartbeats that lack what every entry reads of them

What callers saw: one heartbeat of a foreign or defective process without the field load ended every planning cycle of every entry, since the home passes it on, for as long as that process was heard. A digest of a peer without a worker's name ended the heartbeats between entries for good (the executor cancels work that throws), and a report without an attempt ended the scan for orphans.

Cause: records of the wire took null for fields that are read everywhere.

Change: TargetInfo needs id, kind and address, and takes an absent load as Load.NONE; WorkerParts needs the worker, PartReport the attempt and the state, AttemptId the job. A frame that lacks one is refused with BAD_FRAME.

--- a/core/src/main/java/io/pollenreach/internal/wire/AttemptId.java
+++ b/core/src/main/java/io/pollenreach/internal/wire/AttemptId.java
@@ -1,5 +1,7 @@
 package io.pollenreach.internal.wire;
 
+import java.util.Objects;
+
 /**
  * One attempt at running a job.
  *
@@ -10,4 +12,8 @@
  * @param attempt the attempt's number
  * @param nonce random text that names the placement that claimed the number
  */
-public record AttemptId(String job, int attempt, String nonce) {}
+public record AttemptId(String job, int attempt, String nonce) {
+    public AttemptId {
+        Objects.requireNonNull(job, "job");
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/wire/PartReport.java
+++ b/core/src/main/java/io/pollenreach/internal/wire/PartReport.java
@@ -1,5 +1,7 @@
 package io.pollenreach.internal.wire;
 
+import java.util.Objects;
+
 /**
  * What an agent knows about one part.
  *
@@ -11,4 +13,9 @@
  * @param accelerators how many accelerators it holds
  * @param detail the exit reason or other text for people; may be empty
  */
-public record PartReport(AttemptId id, int rank, PartState state, int accelerators, String detail) {}
+public record PartReport(AttemptId id, int rank, PartState state, int accelerators, String detail) {
+    public PartReport {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(state, "state");
+    }
+}
--- a/core/src/main/java/io/pollenreach/internal/wire/TargetInfo.java
+++ b/core/src/main/java/io/pollenreach/internal/wire/TargetInfo.java
@@ -1,10 +1,14 @@
 package io.pollenreach.internal.wire;
 
+import java.util.Objects;
+
 /**
  * What a target announces about itself.
  *
  * <p>Immutable. Two announcements of one target are ordered by incarnation, then sequence.
  *
+ * <p>One without id, kind or address cannot be made; a load that is absent is {@link Load#NONE}.
+ *
  * @param id the target's name from its settings
  * @param incarnation grows with each start of the agent
  * @param sequence grows with each announcement of one incarnation
@@ -31,6 +35,13 @@
         int slots,
         Load load,
         boolean draining) {
+    public TargetInfo {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(address, "address");
+        load = load == null ? Load.NONE : load;
+    }
+
     /** Tells whether this announcement says more than that the target still lives. */
     public boolean differsFrom(TargetInfo other) {
         return !new TargetInfo(
--- a/core/src/main/java/io/pollenreach/internal/wire/WorkerParts.java
+++ b/core/src/main/java/io/pollenreach/internal/wire/WorkerParts.java
@@ -1,6 +1,7 @@
 package io.pollenreach.internal.wire;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * All parts that one worker's agent holds, as of one announcement.
@@ -14,6 +15,7 @@
  */
 public record WorkerParts(String worker, long incarnation, long sequence, List<PartReport> parts) {
     public WorkerParts {
+        Objects.requireNonNull(worker, "worker");
         parts = List.copyOf(parts);
     }
 
