End no job as never runnable right after a pause of the entry

What callers saw: an entry that was stopped for more than 20 s and went on could end a waiting job for good with 4001, because it knew only those workers that it had heard since, and none of them was large enough.

Cause: Planner counted the 20 s that it listens before it believes that no worker is large enough from its start.

Change: they count from the end of the last pause, as ListeningTime tells.

Evidence: PlannerTest.refusesNoJobForWorkersThatItDidNotHearWhileItWasPaused failed before (FAILED instead of WAITING) and passes now; refusesAJobThatNoWorkerCanHoldAfterAWhile passes before and after.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Planner.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/Planner.java
@@ -27,7 +27,7 @@
  * {@link #plan()} must be called by one thread at a time; starts complete on any thread.
  */
 final class Planner {
-    /** How long an entry must have known a job before it may end it as never runnable, in milliseconds. */
+    /** How long an entry must have known a job and listened to workers before it may end it as never runnable, in milliseconds. */
     static final long NEVER_RUNNABLE_AFTER_MS = 20_000;
 
     private static final Events EVENTS = Events.of(Planner.class);
@@ -126,7 +126,8 @@
     }
 
     private void refuse(Refuse refuse, JobRow row) {
-        long knownForMs = clock.nowMs() - Math.max(row.seenAtMs(), blackboard.startedMs());
+        long nowMs = clock.nowMs();
+        long knownForMs = nowMs - Math.max(row.seenAtMs(), blackboard.listeningSinceMs(nowMs));
         boolean confirmed = refuse.code() != ResultCode.NEVER_RUNNABLE || knownForMs > NEVER_RUNNABLE_AFTER_MS;
         logOnce(refuse, confirmed ? "refuse" : "refuse-later", refuse.code());
         if (!confirmed) {
