Leave out a job whose row has an empty shape

What callers saw: a row of table jobs whose shape has no accelerators in a part would end every planning cycle of every entry with a division by zero. Entries do not write such rows.

Cause: JobRecord.complete looked for a shape, not for its sizes.

Change: a record without at least one part of at least one accelerator is not complete, and its row is left out.

Evidence: the case added to JobStoreTest.oneUnreadableRowDoesNotHideTheOthers failed before (the job was listed) and passes now. That planning fails on it is read from Feasibility.holds and was not run.

--- a/core/src/main/java/io/pollenreach/internal/jobs/JobRecord.java
+++ b/core/src/main/java/io/pollenreach/internal/jobs/JobRecord.java
@@ -60,7 +60,8 @@
     /** Tells whether a record that was read from a row has all fields that its state and the transitions need. */
     public boolean complete() {
         boolean declared = spec != null && spec.workspace() != null && spec.name() != null && spec.shape() != null;
-        if (!declared || state == null || nonce == null) {
+        boolean shaped = declared && spec.shape().parts() > 0 && spec.shape().acceleratorsPerPart() > 0;
+        if (!shaped || state == null || nonce == null) {
             return false;
         }
         boolean located = parts.stream().allMatch(p -> p.worker() != null && p.address() != null);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/JobStoreTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/JobStoreTest.java
@@ -75,7 +75,15 @@
 
     @ParameterizedTest
     @ValueSource(
-            strings = {"null", "[]", "7", "{}", "{\"spec\": {}, \"state\": \"WAITING\"}", "{\"state\": \"UNHEARD\"}"})
+            strings = {
+                "null",
+                "[]",
+                "7",
+                "{}",
+                "{\"spec\": {}, \"state\": \"WAITING\"}",
+                "{\"state\": \"UNHEARD\"}",
+                "{\"spec\": {\"workspace\": \"tejo\", \"name\": \"odd\", \"shape\": {}}, \"state\": \"WAITING\", \"nonce\": \"\"}"
+            })
     void oneUnreadableRowDoesNotHideTheOthers(String unreadable) throws Exception {
         table.put(new Write(JobTable.TABLE, "tejo/odd", 0, Json.lenient().readTree(unreadable)))
                 .join();
