Read on past a workspace whose row cannot be read

What callers saw: one row workspace/NAME of table config that is not the declaration of that workspace made each read of the configuration fail at every entry, so that no later change came into force and an entry that started never became ready.

Change: such a workspace keeps the form that this process last read, or is left out, and is logged (row-unreadable).

Evidence: ConfigSnapshotTest.unreadableWorkspaceHidesNoOtherAndKeepsItsLastReadableForm failed before for all six rows (NullPointerException, IllegalArgumentException "Cannot deserialize value of type `io.pollenreach.Workspace`", IllegalStateException "Duplicate key tejo"); it passes now, as do ConfigControllerTest and RequestPathTest.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigSnapshot.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigSnapshot.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pollenreach.Workspace;
+import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.services.Row;
 import io.pollenreach.daemon.internal.services.RowList;
 import io.pollenreach.internal.json.Json;
@@ -16,7 +17,8 @@
 /**
  * The whole configuration as of one revision of the table {@code config}.
  *
- * <p>Immutable. Invariant: the rows are exactly those that the table held at {@code version}.
+ * <p>Immutable. Invariant: the rows are exactly those that the table held at {@code version}. A workspace whose
+ * row cannot be read keeps the form in which this process last read it, and is left out if it never did.
  */
 final class ConfigSnapshot {
     static final String TABLE = "config";
@@ -26,7 +28,9 @@
     /** A row that every change of guarantees rewrites, so that two changes can't both miss each other. */
     static final String GUARANTEES = "guarantees";
 
-    static final ConfigSnapshot EMPTY = new ConfigSnapshot(0, Map.of());
+    static final ConfigSnapshot EMPTY = new ConfigSnapshot(0, Map.of(), Map.of());
+
+    private static final Events EVENTS = Events.of(ConfigSnapshot.class);
 
     private final long version;
     private final Map<String, ConfigRow> rows;
@@ -41,13 +45,38 @@
      */
     record ConfigRow(long version, long revision, JsonNode value) {}
 
-    private ConfigSnapshot(long version, Map<String, ConfigRow> rows) {
+    private ConfigSnapshot(long version, Map<String, ConfigRow> rows, Map<String, Workspace> lastReadable) {
         this.version = version;
         this.rows = Map.copyOf(rows);
-        this.workspaces = rows.entrySet().stream()
-                .filter(e -> e.getKey().startsWith(WORKSPACE))
-                .map(e -> Json.lenient().convertValue(e.getValue().value(), Workspace.class))
-                .collect(Collectors.toUnmodifiableMap(Workspace::name, w -> w));
+        Map<String, Workspace> all = new HashMap<>();
+        rows.forEach((key, row) -> {
+            if (key.startsWith(WORKSPACE)) {
+                String name = key.substring(WORKSPACE.length());
+                read(name, row)
+                        .or(() -> Optional.ofNullable(lastReadable.get(name)))
+                        .ifPresent(w -> all.put(name, w));
+            }
+        });
+        this.workspaces = Map.copyOf(all);
+    }
+
+    private static Optional<Workspace> read(String name, ConfigRow row) {
+        try {
+            Optional<Workspace> read = Optional.ofNullable(row.value())
+                    .map(v -> Json.lenient().convertValue(v, Workspace.class))
+                    .filter(w -> name.equals(w.name()));
+            if (read.isEmpty()) {
+                logUnreadable(name, row, "it does not declare this workspace");
+            }
+            return read;
+        } catch (IllegalArgumentException e) {
+            logUnreadable(name, row, e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private static void logUnreadable(String name, ConfigRow row, String why) {
+        EVENTS.warn("row-unreadable", "table", TABLE, "key", WORKSPACE + name, "version", row.version(), "why", why);
     }
 
     /** Returns the table's revision, which is the configuration version. */
@@ -94,7 +123,7 @@
                 next.put(r.key(), new ConfigRow(r.version(), r.revision(), r.value()));
             }
         }
-        return new ConfigSnapshot(list.revision(), next);
+        return new ConfigSnapshot(list.revision(), next, workspaces);
     }
 
     /** Writes the snapshot for a peer. */
@@ -119,6 +148,6 @@
                                 e.getValue().path("version").asLong(),
                                 e.getValue().path("revision").asLong(),
                                 e.getValue().path("value"))));
-        return new ConfigSnapshot(version, rows);
+        return new ConfigSnapshot(version, rows, Map.of());
     }
 }
