Keep refusals of runs when an agent claims its worker again

A task could run twice: an agent refuses a run (no room, an unwell worker), is restarted or claims its worker again before the scheduler has stored orders without the run, and starts it, while the scheduler reads the refusal and places the task elsewhere.

Cause: the refusal stands in the agent's row and is carried over by the claim, but LocalRuns.restoreEnds left out entries without a number, and refusals have none.

Change: restored refusals are kept like those of this process: the run is over, and is reported until the scheduler has taken it out of the orders.

Evidence: LocalRunsTest.startsNoRunThatWasRefusedBeforeAClaim failed before ("Expecting empty but was: [OrderedRun[run=a.0.0.0#1 ...") and passes now.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
@@ -67,12 +67,14 @@
     private final Map<TaskRun, RunningTask> running = new HashMap<>();
     private long newestEnd;
 
-    /** Takes over ends that an earlier process of the agent reported. */
+    /** Takes over ends and refusals that an earlier process of the agent reported. */
     void restoreEnds(List<RunEnd> reported) {
         for (RunEnd e : reported) {
-            if (e.number() > 0) {
+            over.add(e.run());
+            if (e.kind() == EndKind.REFUSED) {
+                refusals.put(e.run(), e);
+            } else {
                 ends.put(e.number(), e);
-                over.add(e.run());
                 newestEnd = Math.max(newestEnd, e.number());
             }
         }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/LocalRunsTest.java
@@ -82,6 +82,21 @@
         assertThat(runs.active()).isEmpty();
     }
 
+    // Guards against two runs at once: an agent that claimed its worker again forgot that it had refused a run and
+    // started
+    // it, while the scheduler placed the refused run's task elsewhere.
+    @Test
+    void startsNoRunThatWasRefusedBeforeAClaim() {
+        RunEnd refusal = new RunEnd(0, RUN, EndKind.REFUSED, "");
+
+        runs.restoreEnds(List.of(refusal));
+        runs.take(orders(RUN));
+
+        assertThat(runs.toStart(0)).isEmpty();
+        assertThat(runs.ends()).containsExactly(refusal);
+        assertThat(runs.active()).isEmpty();
+    }
+
     @Test
     void keepsAStoppedRunActiveUntilALaterPollNoLongerShowsIt() {
         runs.take(orders(RUN));
