Take a worker for ended only after its address refused calls for a while

Two refused polls 150 ms apart gave a whole worker up, and Netty reports other failures to connect (no local port, a reset) with the class of a refusal. One refusal sufficed for a worker that had said that it leaves, even if it had announced itself as ready since. While polls were refused, starts went out and could reach the next process at the address, which has seen no fencing token yet.

Nothing is started as long as the newest poll was refused.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -46,9 +46,6 @@
      */
     public static final long ORDERS_WAIT_MS = 1_200;
 
-    /** Polls in a row whose connection was refused, after which no process of the worker is up. */
-    private static final int MIN_REFUSED_POLLS = 2;
-
     private static final long TICK_MS = 100;
     private static final long RETRY_MS = 150;
     private static final Events EVENTS = Events.of(BatchAgent.class);
@@ -136,6 +133,8 @@
             boolean changed =
                     sent.draining() != facts.draining() || !sent.capacity().equals(facts.capacity());
             facts = sent;
+            // A worker that still announces itself as ready has not left.
+            leaving &= sent.draining();
             if (changed) {
                 EVENTS.info("worker-changed", "instance", sent.instance(), "draining", sent.draining());
                 reportNow();
@@ -290,7 +289,7 @@
             return;
         }
         inc.replaced = false;
-        inc.refusedPolls = 0;
+        inc.refusedPolls.clear();
         inc.polledMs = clock.nowMs();
         inc.runnerClockMs = view.clockMs();
         if (inc.runs.take(view, sentMs)) {
@@ -348,10 +347,9 @@
     /** Tells whether a failed poll shows that the worker process has ended, and with it all its runs. */
     private boolean hasEnded(Incarnation inc, PollenreachException e) {
         if (e.code() == ResultCode.PEER_UNREACHABLE) {
-            inc.refusedPolls++;
-            return leaving || inc.refusedPolls >= MIN_REFUSED_POLLS;
+            return inc.refusedPolls.add(clock.nowMs());
         }
-        inc.refusedPolls = 0;
+        inc.refusedPolls.clear();
         return leaving && e.code() == ResultCode.NOT_FOUND;
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
@@ -6,6 +6,7 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.store.TableWatch;
+import io.pollenreach.internal.batch.RefusedCalls;
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.WorkerReport;
 
@@ -37,8 +38,8 @@
     /** Whether another process answered at the worker's address, so that this one has ended. */
     boolean replaced;
 
-    /** How many polls in a row found nothing that listens at the worker's address. */
-    int refusedPolls;
+    /** The newest polls, as long as they find nothing that listens at the worker's address. */
+    final RefusedCalls refusedPolls = new RefusedCalls();
 
     boolean polling;
     boolean reporting;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/OrderSender.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/OrderSender.java
@@ -10,8 +10,8 @@
 /**
  * Sends a worker the orders to start and to stop runs.
  *
- * <p>Invariants: nothing is started on a draining worker, under a lease that is about to end, or once another process
- * answered in the worker's place. For use by the agent's thread.
+ * <p>Invariants: nothing is started on a draining worker, under a lease that is about to end, once another process
+ * answered in the worker's place, or while nothing listens there. For use by the agent's thread.
  */
 final class OrderSender {
     /** The shortest lease with which an order to start is worth sending, in milliseconds. */
@@ -40,7 +40,9 @@
         for (TaskRun run : inc.runs.toStop(nowMs)) {
             runner.stop(inc.authority(), run).whenComplete((v, t) -> context.execute(() -> stopAnswered(inc, run, t)));
         }
-        if (inc.replaced || inc.leaseUntilMs - inc.runnerClockMs - (nowMs - inc.polledMs) < MIN_LEASE_MS) {
+        // A start could otherwise reach the next process at the address, which has seen no fencing token yet.
+        boolean mayBeAnother = inc.replaced || inc.refusedPolls.isPending();
+        if (mayBeAnother || inc.leaseUntilMs - inc.runnerClockMs - (nowMs - inc.polledMs) < MIN_LEASE_MS) {
             return;
         }
         for (WorkerOrders.OrderedRun order : inc.runs.toStart(nowMs)) {
