Let only a worker's own agent confirm the stop of its parts

When a worker's agent died and another worker's agent came to listen at its address (a pod or a port that is used again), an entry's order to stop an attempt was answered with "this worker holds no such part" and counted as the confirmation, so that the next attempt could start while the first worker's task still ran under its lease, 3 s at the most.

Cause: Stop named the attempt and the rank, and not the worker; the address stood for it.

Change: Stop names the worker. Another worker's agent answers UNKNOWN_PART, and the entry waits for the lease instead. Agents of earlier versions ignore the field, and an order without it is answered as before, so versions can be mixed.

Evidence: WorkerAgentTest.agentAtTheAddressOfAnotherWorkerConfirmsNoStopOfItsParts failed with the field and without the check (the stop was confirmed) and passes now, with the other tests of WorkerAgent, EnvelopeCodec and the gangs. Tests that build a Stop name the worker now; they expect what they did.

--- a/bench/src/main/java/io/pollenreach/bench/load/HoldCommand.java
+++ b/bench/src/main/java/io/pollenreach/bench/load/HoldCommand.java
@@ -45,7 +45,7 @@
             System.out.println("parts " + parts + " run");
             TimeUnit.SECONDS.sleep(seconds);
             for (int i = 0; i < parts / 2; i++) {
-                call(rpc, new Stop(id(i), 0, 0));
+                call(rpc, new Stop(id(i), 0, 0, null));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/core/src/main/java/io/pollenreach/internal/wire/Stop.java
+++ b/core/src/main/java/io/pollenreach/internal/wire/Stop.java
@@ -8,5 +8,7 @@
  * @param id the attempt
  * @param rank the part's rank
  * @param graceMs milliseconds for a checkpoint before the part is killed
+ * @param worker the target id of the worker whose part it is, since only its agent can tell that the part has stopped;
+ *     null from an entry of an earlier version
  */
-public record Stop(AttemptId id, int rank, long graceMs) implements Message {}
+public record Stop(AttemptId id, int rank, long graceMs, String worker) implements Message {}
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerAgent.java
@@ -61,7 +61,7 @@
         failures = new FailureWindow(clock);
         table = new PartTable(clock, accelerators);
         stopper = new PartStopper(table, runtime, member, clock, this::onPartEnded);
-        guard = new WorkerGuard(table, stopper, runtime, member, leader, failures, clock);
+        guard = new WorkerGuard(id, table, stopper, runtime, member, leader, failures, clock);
         gangs = new GangGuard(id, table, stopper, member, leader, rpc, clock);
         leases = new LeaseKeeper(table, stopper, runtime, failures, clock);
         orphans = new OrphanStopper(runtime);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerGuard.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/WorkerGuard.java
@@ -31,12 +31,13 @@
  *
  * <p>Invariants: a task is created only for a reservation that holds its accelerators, and started at most
  * once, within {@link io.pollenreach.internal.gang.GangTimes#PREPARED_TTL_MS} after it was prepared; requests for a
- * fenced attempt are refused. Safe for use by many threads. Lock order: the table's
+ * fenced attempt are refused; only a stop of this worker's own part is confirmed. Safe for use by many threads. Lock order: the table's
  * lock, then the gang member's.
  */
 final class WorkerGuard {
     private static final Events EVENTS = Events.of(WorkerGuard.class);
 
+    private final String self;
     private final PartTable table;
     private final PartStopper stopper;
     private final TaskRuntime runtime;
@@ -47,6 +48,7 @@
     private volatile ResultCode admissionStatus = ResultCode.NOT_READY;
 
     WorkerGuard(
+            String self,
             PartTable table,
             PartStopper stopper,
             TaskRuntime runtime,
@@ -54,6 +56,7 @@
             GangLeader leader,
             FailureWindow failures,
             Clock clock) {
+        this.self = self;
         this.table = table;
         this.stopper = stopper;
         this.runtime = runtime;
@@ -225,6 +228,11 @@
     }
 
     private CompletableFuture<Message> stop(Stop s) {
+        if (s.worker() != null && !s.worker().equals(self)) {
+            // That this worker holds no such part says nothing about the worker whose agent had this address before.
+            throw new PollenreachException(
+                    ResultCode.UNKNOWN_PART, "this is the agent of " + self + ", not of " + s.worker());
+        }
         PartKey key = new PartKey(s.id(), s.rank());
         List<HeldPart> parts = table.fence(s.id());
         parts.forEach(p -> stopper.stop(p, s.graceMs(), "stopped by an entry"));
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/GangClient.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/GangClient.java
@@ -85,7 +85,7 @@
     }
 
     CompletableFuture<List<PartResult>> stop(AttemptId id, List<Part> parts, long graceMs) {
-        return callAgents(parts, graceMs + STOP_TIMEOUT_MS, p -> new Stop(id, p.rank(), graceMs));
+        return callAgents(parts, graceMs + STOP_TIMEOUT_MS, p -> new Stop(id, p.rank(), graceMs, p.worker()));
     }
 
     private CompletableFuture<List<PartResult>> callAgents(
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/agent/WorkerAgentTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/agent/WorkerAgentTest.java
@@ -12,6 +12,7 @@
 import io.pollenreach.internal.wire.PartState;
 import io.pollenreach.internal.wire.Release;
 import io.pollenreach.internal.wire.Reserve;
+import io.pollenreach.internal.wire.Stop;
 import io.pollenreach.internal.wire.Unreserve;
 import org.junit.jupiter.api.Test;
 
@@ -90,6 +91,13 @@
                 .isEqualTo(ResultCode.OK);
     }
 
+    @Test
+    void agentAtTheAddressOfAnotherWorkerConfirmsNoStopOfItsParts() {
+        assertThat(Workers.codeOf(workers.send("w1", new Stop(CUT, 0, 0, "w9"))))
+                .isEqualTo(ResultCode.UNKNOWN_PART);
+        assertThat(stateIn(workers.send("w1", new Stop(CUT, 0, 0, null)))).isEqualTo(PartState.STOPPED);
+    }
+
     @Test
     void stopAnswersOnlyOnceTheTaskHasStopped() {
         runtime.ignoresGracefulStop = true;
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/agent/Workers.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/agent/Workers.java
@@ -93,7 +93,7 @@
     }
 
     CompletableFuture<Message> stop(String worker, AttemptId id, int rank, long graceMs) {
-        return send(worker, new Stop(id, rank, graceMs));
+        return send(worker, new Stop(id, rank, graceMs, worker));
     }
 
     static ResultCode codeOf(CompletableFuture<?> future) {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/rpc/EnvelopeCodecTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/rpc/EnvelopeCodecTest.java
@@ -63,7 +63,7 @@
                 new Reserve(ID, 1, 8, 2_000, List.of(ID), 300),
                 new Prepare(ID, 1, List.of(new Part(0, "w1", "127.0.0.1:1", 8)), "train", 60_000),
                 new Release(ID, 0),
-                new Stop(ID, 3, 1_000),
+                new Stop(ID, 3, 1_000, "w1"),
                 new PartReply(REPORT),
                 new GangHeartbeat("w1", List.of(REPORT)),
                 new GangHeartbeatReply(List.of(ID)),
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/rpc/EnvelopeFuzzTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/rpc/EnvelopeFuzzTest.java
@@ -58,7 +58,7 @@
             new PeerState(3, Json.lenient().createObjectNode().put("a", 1), List.of("k"), 5L),
             new Reserve(ID, 1, 8, 2_000, List.of(ID), 300),
             new Prepare(ID, 1, List.of(new Part(0, "w1", "10.0.0.1:1", 8)), "train", 60_000),
-            new Stop(ID, 3, 1_000),
+            new Stop(ID, 3, 1_000, "w1"),
             new PartReply(REPORT),
             new Execute("r1", "tejo", true, "GET", "/", "text/plain", new byte[] {1, 2, 3}, 500, 7),
             new Executed("r1", "tejo", Outcome.values()[0], 200, "text/plain", new byte[] {1}, "d"));
