Hold the runs of a worker whose rows a new leader cannot read

A report or orders that could not be read, stood under another name or were missing counted as no orders, and finishRestore requeued every placed task that no orders contain.

WorkerRecovery now holds the run of a placed task by its progress alone when its worker's report is missing or its orders are not known. Such a worker takes no tasks and no orders are stored for it, and tasks whose last run may be among stops that cannot be read wait. It is lost by the usual mark over the row's version once its lease has expired, counted from the row's write or from the take-over; if its agent lists its runs before, these go on, and runs that it does not list are stopped and given up as not-listed. A run that is missing in orders that can be read was never ordered and stays freed at once.

SchedulerFixture restores workers through StoredWorker, records the names of decisions and can spoil rows; no assertion changed.

--- a/core/src/main/java/io/pollenreach/internal/batch/LossReason.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/LossReason.java
@@ -11,7 +11,9 @@
     /** The worker's agent has registered another process, or none. */
     PROCESS_CHANGED("process-changed"),
     /** No orders that a new leader read contain the run. */
-    NOT_ORDERED("not-ordered");
+    NOT_ORDERED("not-ordered"),
+    /** The orders of the worker could not be read, and its agent does not list the run. */
+    NOT_LISTED("not-listed");
 
     private final String logName;
 
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -103,6 +103,9 @@
     private final Forecast forecast;
     private final Reclaim reclaim;
     private final Set<TaskId> tasksHoldingResources;
+    /** Whether there is a worker that may have been ordered to stop runs of which only their ends would be known. */
+    private final boolean ordersUnknown;
+
     private final Map<Requirement, List<WorkerAllocations>> suitableWorkers = new HashMap<>();
     private final Set<FitKey> unplaceable = new HashSet<>();
     /** Units for which no worker could be claimed; like free capacity, what may be claimed only shrinks in a pass. */
@@ -122,6 +125,7 @@
         tasksHoldingResources = schedulerState.workers().all().stream()
                 .flatMap(WorkerAllocations::heldTasks)
                 .collect(Collectors.toSet());
+        ordersUnknown = schedulerState.workers().all().stream().anyMatch(w -> !w.ordersKnown());
     }
 
     void run() {
@@ -170,7 +174,9 @@
     }
 
     private boolean ready(TaskProgress t) {
-        return t.state() == TaskProgress.State.WAITING && !tasksHoldingResources.contains(t.id());
+        return t.state() == TaskProgress.State.WAITING
+                && !tasksHoldingResources.contains(t.id())
+                && !(ordersUnknown && t.awaitsEndOf(t.run()));
     }
 
     private void place(Unit unit) {
@@ -284,7 +290,7 @@
     private List<WorkerAllocations> findSuitable(Requirement requirement) {
         return schedulerState.workers().all().stream()
                 .filter(w -> w.report().pool().equals(requirement.pool()))
-                .filter(w -> !w.report().lost() && w.report().takesTasks())
+                .filter(w -> !w.report().lost() && w.report().takesTasks() && w.isReadable())
                 .filter(w -> nowMs - w.reportedMs() <= MAX_REPORT_AGE_MS)
                 .filter(w -> !w.health().isExcluded(nowMs))
                 .filter(w -> w.report().has(requirement.label()))
--- a/core/src/main/java/io/pollenreach/internal/batch/RunReleases.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunReleases.java
@@ -1,7 +1,6 @@
 package io.pollenreach.internal.batch;
 
 import java.util.List;
-import java.util.Optional;
 
 /**
  * Gives up runs whose ends were not listed, so that their tasks may be placed again.
@@ -38,18 +37,28 @@
                 previousAgeMs,
                 "runs",
                 runs.size());
+        runs.forEach(r -> release(w, r, reason, previousAgeMs, nowMs));
+    }
+
+    /** Gives up some of a worker's runs and stops them; their tasks are not placed before their worker has seen that. */
+    void releaseStopped(WorkerAllocations w, List<TaskRun> runs, LossReason reason, long previousAgeMs, long nowMs) {
         for (TaskRun run : runs) {
-            JobProgress job = state.jobs().get(run.task().job());
-            if (job != null) {
-                job.find(run.task())
-                        .filter(t -> t.isPlacedAs(w.name(), run.run()))
-                        .ifPresent(t -> release(job, t, reason, Optional.of(previousAgeMs), nowMs));
-            }
+            w.stop(run, nowMs);
+            release(w, run, reason, previousAgeMs, nowMs);
+        }
+    }
+
+    private void release(WorkerAllocations w, TaskRun run, LossReason reason, long previousAgeMs, long nowMs) {
+        JobProgress job = state.jobs().get(run.task().job());
+        if (job != null) {
+            job.find(run.task())
+                    .filter(t -> t.isPlacedAs(w.name(), run.run()))
+                    .ifPresent(t -> release(job, t, reason, previousAgeMs, nowMs));
         }
     }
 
-    /** Gives up a task's run; {@code previousAgeMs} is as above, and empty if its worker is not known. */
-    void release(JobProgress job, TaskProgress t, LossReason reason, Optional<Long> previousAgeMs, long nowMs) {
+    /** Gives up a task's run; {@code previousAgeMs} is as above. */
+    void release(JobProgress job, TaskProgress t, LossReason reason, long previousAgeMs, long nowMs) {
         String worker = t.worker();
         state.recordChange(job);
         state.requeueWithGang(job, t, nowMs);
@@ -64,7 +73,7 @@
                 "why",
                 reason.logName(),
                 "previousReportAgeMs",
-                previousAgeMs.map(String::valueOf).orElse("unknown"),
+                previousAgeMs,
                 "checkpoint",
                 t.checkpoint());
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -34,6 +33,7 @@
     private final Set<String> changedWorkers = new LinkedHashSet<>();
     private final AdviceCache advice = new AdviceCache();
     private final RunReleases releases;
+    private final WorkerRecovery recovery;
     private Map<String, Integer> guarantees = Map.of();
     /** Whether something has changed since the last pass that may let it decide otherwise. */
     private boolean placementChanged = true;
@@ -44,6 +44,7 @@
     public SchedulerState(DecisionLog log) {
         this.log = log;
         releases = new RunReleases(this, log);
+        recovery = new WorkerRecovery(this, releases, log);
     }
 
     /** Sets the number of accelerators that each workspace is guaranteed for its most urgent jobs. */
@@ -76,43 +77,14 @@
         }
     }
 
-    /**
-     * Adds a worker with the orders that an earlier scheduler stored; the jobs of its runs must have been added before.
-     *
-     * @param reportedMs a time, by the scheduler's monotonic clock, by which the report had been written
-     */
-    public void restore(
-            WorkerReport report, long reportVersion, WorkerOrders orders, long ordersVersion, long reportedMs) {
-        WorkerAllocations worker = new WorkerAllocations(report, reportVersion, reportedMs);
-        worker.restore(orders, ordersVersion, this::occupied, reportedMs);
-        workers.add(worker);
-        applyReport(worker, report, reportVersion, LossReason.MARKED_BEFORE, reportedMs);
+    /** Adds a worker with what the store has of it; the jobs of its runs must have been added before. */
+    public void restore(StoredWorker stored) {
+        recovery.restore(stored);
     }
 
-    /**
-     * Completes a restore: requeues tasks whose run is in no worker's orders, and stops the runs of jobs that have
-     * ended.
-     *
-     * <p>Progress is stored before or together with the orders, so a run without orders was never ordered, or its
-     * worker is gone.
-     */
+    /** Completes a restore, once all jobs and workers were added. */
     public void finishRestore(long nowMs) {
-        for (JobProgress job : jobs.byId().values()) {
-            job.tasks()
-                    .filter(t -> t.state() == TaskProgress.State.PLACED && !isOrdered(t))
-                    .toList()
-                    .forEach(t -> releases.release(job, t, LossReason.NOT_ORDERED, Optional.empty(), nowMs));
-            if (job.phase().ended()) {
-                // The job may have been cancelled while there was no leader; its workers were then added after the
-                // cancellation.
-                job.tasks().filter(t -> t.state() == TaskProgress.State.PLACED).forEach(t -> stop(t, nowMs));
-            }
-        }
-    }
-
-    private boolean isOrdered(TaskProgress t) {
-        WorkerAllocations w = workers.get(t.worker());
-        return w != null && w.runs().contains(t.taskRun());
+        recovery.finish(nowMs);
     }
 
     /** Cancels a job; if the job is not known yet, cancels it when it is added. */
@@ -134,7 +106,7 @@
                 "job-ended", "job", job.job().id(), "phase", endPhase, "sinceAcceptedMs", nowMs - job.acceptedMs());
     }
 
-    private void stop(TaskProgress t, long nowMs) {
+    void stop(TaskProgress t, long nowMs) {
         WorkerAllocations w = workers.get(t.worker());
         if (w != null && w.stop(t.taskRun(), nowMs)) {
             changedWorkers.add(w.name());
@@ -175,11 +147,14 @@
     }
 
     /** Applies a report; {@code lossReason} is why the worker counts as lost if the report has that mark. */
-    private void applyReport(
-            WorkerAllocations w, WorkerReport report, long version, LossReason lossReason, long nowMs) {
+    void applyReport(WorkerAllocations w, WorkerReport report, long version, LossReason lossReason, long nowMs) {
         long previousAgeMs = nowMs - w.reportedMs();
         w.report().active().forEach(this::recordCheckpoint);
         w.update(report, version, nowMs);
+        boolean rebuildsOrders = !w.ordersKnown();
+        if (rebuildsOrders && !recovery.takeOrdersFrom(w, report, nowMs)) {
+            return;
+        }
         // The agent has already acknowledged ends that it stored before its worker was lost or restarted, so they
         // count.
         if (!w.sameIncarnation(report)) {
@@ -210,6 +185,9 @@
             releases.releaseAll(w, lossReason, previousAgeMs, nowMs);
             return;
         }
+        if (rebuildsOrders) {
+            recovery.releaseUnlisted(w, previousAgeMs, nowMs);
+        }
         for (RunningTask a : report.active()) {
             if (w.stopUnknown(a.run(), occupied(a.run().task()), nowMs)) {
                 log.logDecision(
@@ -250,7 +228,7 @@
         }
     }
 
-    private void applyEnd(WorkerAllocations w, RunEnd end, long nowMs) {
+    void applyEnd(WorkerAllocations w, RunEnd end, long nowMs) {
         if (w.remove(end.run()) || end.kind() != EndKind.REFUSED) {
             changedWorkers.add(w.name());
         }
@@ -401,11 +379,9 @@
         for (FreeCapacity.Assignment a : assignments) {
             TaskProgress t = a.task();
             t.place(a.worker().name(), spec.gang() ? gangRun : t.run() + 1, nowMs);
-            String checkpoint = spec.checkpointing() ? t.checkpoint() : "";
             String ticket = advice.ticket(StepId.of(t.id()), a.worker().report().instance(), nowMs)
                     .orElse("");
-            WorkerOrders.OrderedRun order = new WorkerOrders.OrderedRun(
-                    t.taskRun(), job.job().payload(), checkpoint, ticket, spec.targetLatencyMs(), spec.filler(), false);
+            WorkerOrders.OrderedRun order = orderOf(job, t, ticket);
             a.worker().order(order, spec.occupied());
             changedWorkers.add(a.worker().name());
             log.logDecision(
@@ -419,7 +395,7 @@
                     "waitedMs",
                     nowMs - t.waitingSinceMs(),
                     "checkpoint",
-                    checkpoint,
+                    order.checkpoint(),
                     "failures",
                     t.failures());
         }
@@ -427,6 +403,13 @@
         changedJobs.add(job.job().id());
     }
 
+    WorkerOrders.OrderedRun orderOf(JobProgress job, TaskProgress t, String ticket) {
+        StepSpec spec = job.spec(t.id());
+        String checkpoint = spec.checkpointing() ? t.checkpoint() : "";
+        return new WorkerOrders.OrderedRun(
+                t.taskRun(), job.job().payload(), checkpoint, ticket, spec.targetLatencyMs(), spec.filler(), false);
+    }
+
     /** Stops a run to free its resources for a more urgent task, and requeues its task. */
     void preempt(TaskProgress t, TaskId by, long nowMs) {
         JobProgress job = jobs.get(t.id().job());
@@ -436,7 +419,7 @@
         changedJobs.add(job.job().id());
     }
 
-    private Resources occupied(TaskId task) {
+    Resources occupied(TaskId task) {
         JobProgress job = jobs.get(task.job());
         boolean known = job != null && task.step() < job.job().steps().size();
         return known ? job.spec(task).occupied() : Resources.NONE;
@@ -452,14 +435,20 @@
         Map<String, Map<String, ProgressRow>> rows = new LinkedHashMap<>();
         changedJobs.forEach(id -> rows.put(id, jobs.get(id).changedRows()));
         Map<String, WorkerOrders> orders = new LinkedHashMap<>();
-        changedWorkers.forEach(n -> orders.put(n, workers.get(n).toOrders()));
+        changedWorkers.stream()
+                .map(workers::get)
+                .filter(WorkerAllocations::ordersKnown)
+                .forEach(w -> orders.put(w.name(), w.toOrders()));
         return new StateChanges(rows, orders);
     }
 
     /** Records that the changes returned by {@link #changes()} were stored under a version. */
     public void committed(long version) {
         changedJobs.forEach(id -> jobs.get(id).committed());
-        changedWorkers.forEach(n -> workers.get(n).committed(version));
+        changedWorkers.stream()
+                .map(workers::get)
+                .filter(WorkerAllocations::ordersKnown)
+                .forEach(w -> w.committed(version));
         changedJobs.clear();
         changedWorkers.clear();
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
@@ -61,6 +61,10 @@
     private long reportedMs;
     private long lastEndNumber;
     private String ordersIncarnation;
+    private boolean reportReadable = true;
+    /** Whether the runs and stops are those of the stored orders; otherwise they follow from the progress of jobs. */
+    private boolean ordersKnown = true;
+
     private final WorkerHealth health = new WorkerHealth();
 
     WorkerAllocations(WorkerReport report, long reportVersion, long nowMs) {
@@ -95,13 +99,28 @@
         return health;
     }
 
+    /** Tells whether the newest report could be read. */
+    boolean reportReadable() {
+        return reportReadable;
+    }
+
+    /** Tells whether the orders are known; otherwise none may be stored, since these would void those that are. */
+    boolean ordersKnown() {
+        return ordersKnown;
+    }
+
+    /** Tells whether the newest report could be read and the orders are known; otherwise the worker takes no tasks. */
+    boolean isReadable() {
+        return reportReadable && ordersKnown;
+    }
+
     boolean sameIncarnation(WorkerReport other) {
         return ordersIncarnation.equals(other.incarnation());
     }
 
     /** Tells whether a report shows a worker on which other placements are possible than before. */
     boolean placementDiffers(WorkerReport next, long nowMs) {
-        boolean silent = nowMs - reportedMs > PlacementPass.MAX_REPORT_AGE_MS;
+        boolean silent = !isReadable() || nowMs - reportedMs > PlacementPass.MAX_REPORT_AGE_MS;
         return silent
                 || next.lost() != report.lost()
                 || next.takesTasks() != report.takesTasks()
@@ -113,6 +132,28 @@
         report = next;
         reportVersion = version;
         reportedMs = nowMs;
+        reportReadable = true;
+    }
+
+    /** Records that a report was written that cannot be read; the worker may have a new lease by it. */
+    void noteUnreadableReport(long version, long nowMs) {
+        reportVersion = version;
+        reportedMs = nowMs;
+        reportReadable = false;
+    }
+
+    /** Records that the stored orders are not known. */
+    void forgetOrders() {
+        ordersKnown = false;
+    }
+
+    /** Records that the runs and stops are from now on the orders, for the incarnation that was reported last. */
+    void adoptOrders() {
+        if (!sameIncarnation(report)) {
+            lastEndNumber = 0;
+        }
+        ordersIncarnation = report.incarnation();
+        ordersKnown = true;
     }
 
     /**
@@ -132,6 +173,7 @@
         stops.clear();
         lastEndNumber = 0;
         ordersIncarnation = report.incarnation();
+        ordersKnown = true;
         health.reset();
     }
 
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -45,6 +45,9 @@
         List<RunEnd> ends,
         List<RunEnd> formerEnds,
         boolean lost) {
+    /** An incarnation that no agent registers; stored rows omit empty values, and a report needs one. */
+    private static final String UNKNOWN = "unknown";
+
     /** Creates a report; lists that are missing in older rows are empty, but a report needs its agent. */
     public WorkerReport {
         RequiredField.of(agent, "agent");
@@ -72,6 +75,32 @@
         return instance.isEmpty() || ordersSeen > 0;
     }
 
+    /** Tells whether none of the worker's runs can be active: it is lost, or its process is gone. */
+    boolean hasNoRuns() {
+        return lost || instance.isEmpty();
+    }
+
+    /** Returns what stands in for a report that cannot be read; the incarnation is that of the orders, empty for none. */
+    static WorkerReport unknown(String agent, String incarnation) {
+        return new WorkerReport(
+                agent,
+                incarnation.isEmpty() ? UNKNOWN : incarnation,
+                "",
+                0,
+                "",
+                Resources.NONE,
+                List.of(),
+                "",
+                "",
+                false,
+                0,
+                0,
+                List.of(),
+                List.of(),
+                List.of(),
+                false);
+    }
+
     /** Returns a copy of this report that is marked as lost. */
     public WorkerReport withLostMark() {
         return copy(ordersSeen, active, ends, formerEnds, true);
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerTable.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerTable.java
@@ -30,11 +30,12 @@
 
     /**
      * Returns the last reports of the workers that have not reported for longer than a time, in milliseconds. Leaves
-     * out workers already marked as lost and agents without a worker.
+     * out workers already marked as lost and agents without a worker, but not those whose report cannot be read.
      */
     public List<WorkerReport> unresponsiveFor(long timeoutMs, long nowMs) {
         return byAgent.values().stream()
-                .filter(w -> !w.report().lost() && !w.report().instance().isEmpty())
+                .filter(w -> !w.reportReadable() || !w.report().instance().isEmpty())
+                .filter(w -> !w.report().lost())
                 .filter(w -> nowMs - w.reportedMs() > timeoutMs)
                 .map(WorkerAllocations::report)
                 .toList();
@@ -50,6 +51,7 @@
     public boolean holdsRuns(String agent) {
         WorkerAllocations w = byAgent.get(agent);
         return w != null
+                && w.isReadable()
                 && w.sameIncarnation(w.report())
                 && w.heldTasks().findAny().isPresent();
     }
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -5,9 +5,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 import io.pollenreach.internal.json.Json;
 
@@ -15,14 +18,36 @@
 final class SchedulerFixture {
     static final long WALL_MS = 1_000_000;
 
-    private final SchedulerState state = new SchedulerState((event, pairs) -> {});
+    private final SchedulerState state = new SchedulerState(this::record);
     private final Map<String, BatchJob> jobs = new LinkedHashMap<>();
     private final Map<String, ProgressRow> progress = new HashMap<>();
     private final Map<String, WorkerOrders> orders = new HashMap<>();
     private final Map<String, WorkerReport> reports = new HashMap<>();
+    private final Set<String> unreadableReports = new HashSet<>();
+    private final Set<String> unreadableOrders = new HashSet<>();
+    private final List<String> events = new ArrayList<>();
     private long version = 1;
     private long nowMs;
 
+    private void record(String event, Object... keysAndValues) {
+        events.add(event);
+    }
+
+    /** Returns the names of all decisions of this scheduler. */
+    List<String> events() {
+        return events;
+    }
+
+    /** Lets later schedulers fail to read a worker's report. */
+    void spoilReport(String worker) {
+        unreadableReports.add(worker);
+    }
+
+    /** Lets later schedulers fail to read a worker's orders. */
+    void spoilOrders(String worker) {
+        unreadableOrders.add(worker);
+    }
+
     SchedulerState state() {
         return state;
     }
@@ -198,7 +223,16 @@
             next.jobs.put(job.id(), job);
             next.state.restore(job, ++sequence, progressOf(job.id()), nowMs);
         }
-        reports.values().forEach(r -> next.state.restore(r, ++next.version, orders.get(r.agent()), version, nowMs));
+        for (WorkerReport r : reports.values()) {
+            boolean readable = !unreadableReports.contains(r.agent());
+            next.state.restore(new StoredWorker(
+                    r.agent(),
+                    Optional.of(r).filter(x -> readable),
+                    ++next.version,
+                    nowMs,
+                    Optional.ofNullable(orders.get(r.agent())).filter(o -> !unreadableOrders.contains(r.agent())),
+                    version));
+        }
         next.progress.putAll(progress);
         next.orders.putAll(orders);
         next.state.finishRestore(nowMs);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -6,7 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -35,6 +37,7 @@
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.SchedulerState;
 import io.pollenreach.internal.batch.StateChanges;
+import io.pollenreach.internal.batch.StoredWorker;
 import io.pollenreach.internal.batch.WorkerOrders;
 import io.pollenreach.internal.batch.WorkerReport;
 
@@ -122,9 +125,9 @@
         cancels.join().rows().forEach(r -> state.cancel(r.key(), nowMs));
         rowRemover.removeOrphans(jobs.join(), progress.join());
         loadJobs(jobs.join(), progress.join(), nowMs);
-        Map<String, StoredRow> ordersByAgent = new HashMap<>();
-        orders.forEach(o -> o.join().rows().forEach(r -> ordersByAgent.put(r.key(), r)));
-        workers.join().rows().forEach(r -> RowReader.handle(r, () -> loadWorker(r, ordersByAgent)));
+        List<StoredRow> orderRows =
+                orders.stream().flatMap(o -> o.join().rows().stream()).toList();
+        loadWorkers(workers.join(), orderRows, nowMs);
         state.finishRestore(nowMs);
         follow(Tables.JOBS, jobs.join().version(), this::acceptJob);
         follow(Tables.CANCELS, cancels.join().version(), r -> state.cancel(r.key(), clock.nowMs()));
@@ -200,19 +203,26 @@
         }
     }
 
-    private void loadWorker(StoredRow row, Map<String, StoredRow> ordersByAgent) {
-        RowReader.report(row).ifPresent(report -> {
-            StoredRow orders = ordersByAgent.get(report.agent());
-            WorkerOrders restoredOrders = orders == null
-                    ? WorkerOrders.none(report.incarnation())
-                    : RowCodec.fromRow(orders, WorkerOrders.class).orElse(WorkerOrders.none(report.incarnation()));
-            state.restore(
-                    report,
-                    row.version(),
-                    restoredOrders,
-                    orders == null ? 0 : orders.version(),
-                    leader.writtenBeforeMs(row.version()));
-        });
+    /** Restores every worker that has a row of either kind; one whose rows cannot be read keeps its runs. */
+    private void loadWorkers(Rows workers, List<StoredRow> orders, long nowMs) {
+        Map<String, StoredRow> reportsByAgent = new HashMap<>();
+        workers.rows().forEach(r -> reportsByAgent.put(r.key(), r));
+        Map<String, StoredRow> ordersByAgent = new HashMap<>();
+        orders.forEach(r -> ordersByAgent.put(r.key(), r));
+        Set<String> agents = new TreeSet<>(reportsByAgent.keySet());
+        agents.addAll(ordersByAgent.keySet());
+        for (String agent : agents) {
+            Optional<StoredRow> report = Optional.ofNullable(reportsByAgent.get(agent));
+            Optional<StoredRow> ordered = Optional.ofNullable(ordersByAgent.get(agent));
+            StoredWorker stored = new StoredWorker(
+                    agent,
+                    report.flatMap(RowReader::report),
+                    report.map(StoredRow::version).orElse(0L),
+                    report.map(r -> leader.writtenBeforeMs(r.version())).orElse(nowMs),
+                    ordered.flatMap(r -> RowCodec.fromRow(r, WorkerOrders.class)),
+                    ordered.map(StoredRow::version).orElse(0L));
+            RowReader.handle(report.or(() -> ordered).orElseThrow(), () -> state.restore(stored));
+        }
     }
 
     private interface RowHandler {
