Count a report that cannot be read for the lease of its worker

Callers would have seen tasks that wait for good: a worker whose last report could not be read and that fell silent was never lost, because the mark expected the version of the last report that could be read. Its runs were not freed too early, since the mark failed. Found by reading.

The scheduler records the version and the time of such a report; its worker takes no tasks until the next one that can be read.

--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -136,6 +136,15 @@
         applyReport(w, report, version, LossReason.MARKED_BEFORE, nowMs);
     }
 
+    /** Records that an agent wrote a report that cannot be read; its worker, if known, takes no tasks meanwhile. */
+    public void reportUnreadable(String agent, long version, long nowMs) {
+        WorkerAllocations w = workers.get(agent);
+        if (w != null && version > w.reportVersion()) {
+            w.noteUnreadableReport(version, nowMs);
+            placementChanged = true;
+        }
+    }
+
     /** Applies the mark of a worker as lost that this scheduler has stored under a version. */
     public void declareLost(WorkerReport marked, long version, LossReason reason, long nowMs) {
         WorkerAllocations w = workers.get(marked.agent());
--- a/core/src/test/java/io/pollenreach/internal/batch/WorkerRecoveryTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/WorkerRecoveryTest.java
@@ -130,4 +130,14 @@
 
         assertThat(runs(next, "w1")).hasSize(2);
     }
+
+    @Test
+    void placesNothingOnAWorkerWhoseNewestReportCannotBeRead() {
+        fixture.worker("w1", "r1");
+
+        fixture.state().reportUnreadable("w1", Integer.MAX_VALUE, 0);
+        fixture.submit(Jobs.job("a").step(Jobs.step(1, 1)));
+
+        assertThat(runs(fixture, "w1")).isEmpty();
+    }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -258,7 +258,11 @@
     }
 
     private void acceptReport(StoredRow row) {
-        RowReader.report(row).ifPresent(r -> state.report(r, row.version(), clock.nowMs()));
+        long nowMs = clock.nowMs();
+        RowReader.report(row)
+                .ifPresentOrElse(
+                        r -> state.report(r, row.version(), nowMs),
+                        () -> state.reportUnreadable(row.key(), row.version(), nowMs));
     }
 
     /** Waits for changes or the next tick, then makes and stores decisions. */
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/UnreadableWorkerTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/UnreadableWorkerTest.java
@@ -235,6 +235,37 @@
         assertThat(storedReport("w1").lost()).isTrue();
     }
 
+    // Guards against two runs at once: each report extends the lease, whether the leader can read it or not.
+    @Test
+    void countsTheLeaseFromTheNewestReportThoughItCannotBeRead() throws Exception {
+        placeOnFirstOfTwoWorkers();
+        spoilReport();
+
+        takeOver();
+        spoilReport();
+        deliverReports();
+        clock.advanceMs(LEASE_MS / 2 + 400);
+        report("w2");
+        deliverReports();
+
+        assertThat(countSecondRuns()).isZero();
+    }
+
+    // Guards against tasks that wait for good: the mark of a lost worker expected the last report that could be read.
+    @Test
+    void placesTheTasksOfAWorkerWhoseLastReportCouldNotBeReadOnceItsLeaseHasExpired() throws Exception {
+        placeOnFirstOfTwoWorkers();
+        takeOver();
+        spoilReport();
+        deliverReports();
+
+        clock.advanceMs(LEASE_MS + 400);
+        report("w2");
+        deliverReports();
+
+        assertThat(countSecondRuns()).isEqualTo(1);
+    }
+
     @Test
     void placesATaskAgainThatWasNeverOrdered() throws Exception {
         placeOnFirstOfTwoWorkers();
