Leave the tasks of ended jobs alone at a take-over

The users' records show task-lost why=no-orders for three tasks at a take-over, of jobs that had failed 30 s before. It was noise: an ended job keeps its tasks as placed, their ends are taken and their orders removed, and the restore requeued them in a job that no pass reads. The progress of an active job cannot lag behind the end of a run, since an end changes both in one step and progress is stored first.

--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerRecovery.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerRecovery.java
@@ -60,15 +60,13 @@
      */
     void finish(long nowMs) {
         // A task that is released may stop others of its gang, so all runs must be held before.
-        state.jobs().values().forEach(j -> placed(j).forEach(t -> hold(j, t, nowMs)));
+        state.activeJobs().forEach(j -> placed(j).forEach(t -> hold(j, t, nowMs)));
         unnamed.clear();
         for (JobProgress job : state.jobs().values()) {
-            placed(job).forEach(t -> releaseUnlessOrdered(job, t, nowMs));
-            if (job.phase().ended()) {
-                // The job may have been cancelled while there was no leader; its workers were then added after the
-                // cancellation.
-                placed(job).forEach(t -> state.stop(t, nowMs));
-            }
+            // An ended job may have been cancelled while there was no leader; its workers were then added after the
+            // cancellation. Its tasks stay placed, and their runs may have ended long ago.
+            boolean ended = job.phase().ended();
+            placed(job).forEach(ended ? t -> state.stop(t, nowMs) : t -> releaseUnlessOrdered(job, t, nowMs));
         }
         state.workers().all().stream().filter(w -> !w.isReadable()).forEach(w -> logHeld(w, nowMs));
     }
--- a/core/src/test/java/io/pollenreach/internal/batch/WorkerRecoveryTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/WorkerRecoveryTest.java
@@ -140,4 +140,21 @@
 
         assertThat(runs(fixture, "w1")).isEmpty();
     }
+
+    // Guards against noise: tasks of a job that had failed counted as lost in each term after it.
+    @Test
+    void doesNotCountTheTasksOfAnEndedJobAsLost() {
+        fixture.worker("w1", "r1");
+        fixture.submit(Jobs.job("a").attempts(1).step(Jobs.step(2, 1)));
+        fixture.end("w1", 1, "a.0.0.0", 1, EndKind.FAILED);
+        fixture.end("w1", 2, "a.0.0.1", 1, EndKind.STOPPED);
+        assertThat(fixture.progress("a").tasks())
+                .extracting(ProgressRow.TaskRow::state)
+                .contains(TaskProgress.State.PLACED);
+
+        SchedulerFixture next = fixture.successor();
+
+        assertThat(next.events()).doesNotContain("task-lost");
+        assertThat(next.progress("a").phase()).isEqualTo(JobPhase.FAILED);
+    }
 }
