Keep the runs of a worker whose newest orders cannot be read

Callers would have seen all runs of a worker stopped and started again: its agent took orders that it could not read for none. Nothing ran twice, since stopped runs are listed.

The agent goes on under the orders that it read last; the next ones replace both. One that has read none yet takes them as none, as before, since it could neither poll nor report otherwise.

Evidence: on the code before, BatchAgentTest keepsItsRunsWhenItsOrdersCannotBeRead failed: "Expecting empty but was: [a.0.0.0#1]" stops.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -231,8 +231,13 @@
                 || row.map(r -> r.version() <= inc.ordersSeen).orElse(false)) {
             return;
         }
-        WorkerOrders written =
-                row.flatMap(r -> RowCodec.fromRow(r, WorkerOrders.class)).orElse(WorkerOrders.none(""));
+        Optional<WorkerOrders> read = row.flatMap(r -> RowCodec.fromRow(r, WorkerOrders.class));
+        boolean unreadable = read.isEmpty() && row.filter(r -> !r.removed()).isPresent();
+        if (unreadable && inc.ordersSeen > 0) {
+            // The worker goes on under the orders before these; the next ones replace both.
+            return;
+        }
+        WorkerOrders written = read.orElse(WorkerOrders.none(""));
         if (written.incarnation().equals(inc.id)) {
             // The scheduler knows this incarnation, so it has taken what earlier incarnations left.
             inc.formerEnds = List.of();
--- /dev/null
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/BatchAgentTest.java
@@ -0,0 +1,129 @@
+package io.pollenreach.daemon.internal.work;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import io.pollenreach.Clock;
+import io.pollenreach.daemon.internal.store.MemoryStore;
+import io.pollenreach.daemon.internal.store.RowCodec;
+import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.internal.batch.Resources;
+import io.pollenreach.internal.batch.RunningTask;
+import io.pollenreach.internal.batch.TaskId;
+import io.pollenreach.internal.batch.TaskRun;
+import io.pollenreach.internal.batch.WorkerOrders;
+import io.pollenreach.internal.batch.WorkerReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class BatchAgentTest {
+    private static final long LEASE_MS = 6_000;
+    private static final long POLL_MS = 20;
+    private static final TaskRun FIRST = new TaskRun(TaskId.of("a.0.0.0"), 1);
+    private static final TaskRun SECOND = new TaskRun(TaskId.of("a.0.0.1"), 1);
+
+    private final MemoryStore store = new MemoryStore();
+    private final FakeWorker worker = new FakeWorker();
+    private final BatchAgent agent = new BatchAgent("w1", store, worker, Clock.system(), LEASE_MS);
+
+    @AfterEach
+    void close() {
+        agent.close();
+    }
+
+    private void putOrders(byte[] row) {
+        store.put(Tables.ordersOf("w1"), "w1", row);
+        store.discardHistory(Tables.ordersOf("w1"));
+    }
+
+    private byte[] orders(TaskRun... runs) {
+        List<WorkerOrders.OrderedRun> ordered = Stream.of(runs)
+                .map(r -> WorkerOrders.OrderedRun.of(r, "payload"))
+                .toList();
+        return RowCodec.toValue(new WorkerOrders(storedReport().orElseThrow().incarnation(), ordered, List.of(), 0));
+    }
+
+    private Optional<WorkerReport> storedReport() {
+        return Claims.report(store.get(Tables.WORKERS, "w1").join());
+    }
+
+    private void awaitStart(TaskRun run) throws InterruptedException {
+        while (!worker.started.contains(run)) {
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    // Guards against lost work: a row of orders that could not be read counted as none, and all runs were stopped.
+    @Test
+    @Timeout(30)
+    void keepsItsRunsWhenItsOrdersCannotBeRead() throws Exception {
+        agent.start();
+        agent.heartbeat(
+                new WorkerInfo("i1", 1, 1, "pool", "zone", false, new Resources(1_000, 1_000, 8), List.of(), "rack"));
+        while (storedReport().filter(WorkerReport::takesTasks).isEmpty()) {
+            Thread.sleep(POLL_MS);
+        }
+        putOrders(orders(FIRST));
+        awaitStart(FIRST);
+
+        putOrders("no orders".getBytes(StandardCharsets.UTF_8));
+        putOrders(orders(FIRST, SECOND));
+        awaitStart(SECOND);
+
+        assertThat(worker.stopped).isEmpty();
+    }
+
+    /** A worker that starts whatever it is told and answers each poll after a while. */
+    private static final class FakeWorker implements TaskRunner {
+        private final Queue<TaskRun> started = new ConcurrentLinkedQueue<>();
+        private final Queue<TaskRun> stopped = new ConcurrentLinkedQueue<>();
+
+        @Override
+        public CompletableFuture<Void> identify(Authority by) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<StartOutcome> start(Authority by, WorkerOrders.OrderedRun run, long leaseUntilMs) {
+            started.add(run.run());
+            return CompletableFuture.completedFuture(StartOutcome.STARTED);
+        }
+
+        @Override
+        public CompletableFuture<Void> stop(Authority by, TaskRun run) {
+            stopped.add(run);
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<Void> pace(Authority by, TaskRun run, int percent) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<WorkerStatus> poll(
+                Authority by, long endsUpTo, OptionalLong leaseUntilMs, long waitMs) {
+            return CompletableFuture.supplyAsync(
+                    this::status, CompletableFuture.delayedExecutor(POLL_MS, TimeUnit.MILLISECONDS));
+        }
+
+        private WorkerStatus status() {
+            List<RunningTask> running = started.stream()
+                    .filter(r -> !stopped.contains(r))
+                    .map(r -> new RunningTask(r, "", 50))
+                    .toList();
+            return new WorkerStatus(Clock.system().nowMs(), running, List.of(), Map.of());
+        }
+    }
+}
