--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -174,6 +174,9 @@
     private synchronized void tick() {
         long nowMs = clock.nowMs();
         boolean lapsed = nowMs > leaseUntilMs;
+        if (lapsed) {
+            ends.values().forEach(e -> e.put("lapsed", true));
+        }
         for (Run r : List.copyOf(running.values())) {
             r.doneMs += TICK_MS;
             if (lapsed) {
@@ -195,6 +198,9 @@
         e.put("task", r.task).put("run", r.run).put("how", how);
         ends.put(++lastEnd, e);
         record.ended(r.task);
+        if (how.equals("done")) {
+            record.done(r.task, r.run);
+        }
         List.copyOf(polls).forEach(this::answerPoll);
     }
 
@@ -329,7 +335,10 @@
                 new ArrayList<>(ends.headMap(acknowledged, true).entrySet())) {
             ends.remove(e.getKey());
             if (e.getValue().path("how").asText().equals("done")) {
-                record.noted(e.getValue().path("task").asText());
+                record.noted(
+                        e.getValue().path("task").asText(),
+                        e.getValue().path("run").asInt(),
+                        e.getValue().path("lapsed").asBoolean());
             }
         }
         leaseUntilMs = Math.max(leaseUntilMs, body.path("until-ms").asLong());
