--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.pollenreach.bench.emulator.EmulatedAdvisor;
@@ -19,6 +20,7 @@
 import io.pollenreach.bench.emulator.EmulatedStore;
 import io.pollenreach.bench.emulator.EmulatedWorker;
 import io.pollenreach.bench.emulator.RunRecord;
+import io.pollenreach.bench.link.FaultyLink;
 
 /**
  * Entries and agents of the users' platform as real processes, between emulated workers and an emulated store inside
@@ -35,7 +37,7 @@
     private static final String[] NO_KEY = {"Accept", "application/json"};
 
     private static final String IP = "127.0.0.1";
-    private static final String PREFIX = "/jobs/";
+    static final String PREFIX = "/jobs/";
     private static final String ADVISED_PREFIX = "/advised/";
     private static final long START_TIMEOUT_MS = 30_000;
 
@@ -53,16 +55,27 @@
     private final Map<String, Daemon> daemons = new LinkedHashMap<>();
     private final Map<String, String> ingress = new LinkedHashMap<>();
     private final List<EmulatedWorker> workers = new ArrayList<>();
+    private final Map<String, FaultyLink> links = new LinkedHashMap<>();
+    private final OptionalLong linkSeed;
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
-    private PlatformCluster(String name) throws Exception {
+    private PlatformCluster(String name, OptionalLong linkSeed) throws Exception {
         directory = Files.createDirectories(Path.of("target", "clusters", name));
+        this.linkSeed = linkSeed;
     }
 
     /** Starts entries {@code e1} and so on, and agents {@code a1} and so on with a worker each. */
     static PlatformCluster start(String name, int entries, int workers) throws Exception {
-        PlatformCluster c = new PlatformCluster(name);
+        return start(new PlatformCluster(name, OptionalLong.empty()), entries, workers);
+    }
+
+    /** Starts a cluster as above, in which each process reaches the store through a link of its own. */
+    static PlatformCluster startLinked(String name, int entries, int workers, long linkSeed) throws Exception {
+        return start(new PlatformCluster(name, OptionalLong.of(linkSeed)), entries, workers);
+    }
+
+    private static PlatformCluster start(PlatformCluster c, int entries, int workers) throws Exception {
         try {
             c.configure(1, List.of(KEY));
             for (int i = 1; i <= entries; i++) {
@@ -157,7 +170,7 @@
                 "node-name=" + name,
                 "zone=zone",
                 "ip-address=" + IP,
-                "platform.address=" + IP + ":" + store.port(),
+                "platform.address=" + storeAddress(name),
                 "advice=" + IP + ":" + advisor.port(),
                 "cloud-api.address=" + IP + ":" + machines.port(),
                 "bounds.max-hold-ms=6000",
@@ -166,6 +179,30 @@
                 "field.from.the.future=x"));
     }
 
+    /** Returns where a process reaches the store. */
+    private String storeAddress(String name) {
+        String address = IP + ":" + store.port();
+        if (linkSeed.isEmpty()) {
+            return address;
+        }
+        return links.computeIfAbsent(name, n -> new FaultyLink(address, linkSeed.getAsLong() + n.hashCode()))
+                .address();
+    }
+
+    /** Returns the link between a process and the store, in a cluster that has links. */
+    FaultyLink link(String name) {
+        return links.get(name);
+    }
+
+    /** Returns where an entry takes calls, as {@code ip:port}. */
+    String ingress(String entry) {
+        return ingress.get(entry);
+    }
+
+    Path directory() {
+        return directory;
+    }
+
     EmulatedStore store() {
         return store;
     }
@@ -182,6 +219,11 @@
         return workers;
     }
 
+    /** Returns the worker of an agent. */
+    EmulatedWorker worker(String agent) {
+        return workers.get(agents().indexOf(agent));
+    }
+
     Daemon daemon(String name) {
         return daemons.get(name);
     }
@@ -261,6 +303,7 @@
             d.close();
         }
         workers.forEach(EmulatedWorker::close);
+        links.values().forEach(FaultyLink::close);
         store.close();
         advisor.close();
         machines.close();
--- /dev/null
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/SoakJob.java
@@ -0,0 +1,151 @@
+package io.pollenreach.systemtest;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * A job of a soak, and what its submitter was told of it.
+ *
+ * <p>Safe for use by many threads.
+ */
+final class SoakJob {
+    private static final int MAX_STEPS = 2;
+    private static final int MAX_COUNT = 3;
+    private static final int MIN_WORK_MS = 200;
+    private static final int MAX_WORK_MS = 5_000;
+    private static final int MAX_CANCEL_AFTER_MS = 4_000;
+    private static final int PERCENT = 100;
+    private static final int GANGS = 20;
+    private static final int FAIL_ONCE = 8;
+    private static final int FAIL_ALWAYS = 4;
+    private static final int CANCELS = 15;
+    /** As many failed runs as the queue allows attempts. */
+    private static final int ALL_ATTEMPTS = 3;
+
+    private record Step(int count, boolean gang) {}
+
+    private final String id;
+    private final List<Step> steps = new ArrayList<>();
+    private final int workMs;
+    private final int fails;
+    private final long cancelAfterMs;
+    private volatile long acceptedMs = Long.MAX_VALUE;
+    private volatile long cancelSentMs = Long.MAX_VALUE;
+    private volatile long cancelledMs = Long.MAX_VALUE;
+    private volatile boolean refused;
+    private volatile boolean unknown;
+
+    SoakJob(Random random) {
+        id = String.format("%016x", random.nextLong());
+        int stepCount = 1 + random.nextInt(MAX_STEPS);
+        for (int i = 0; i < stepCount; i++) {
+            steps.add(new Step(1 + random.nextInt(MAX_COUNT), random.nextInt(PERCENT) < GANGS));
+        }
+        workMs = MIN_WORK_MS + random.nextInt(MAX_WORK_MS - MIN_WORK_MS);
+        int draw = random.nextInt(PERCENT);
+        fails = draw < FAIL_ALWAYS ? ALL_ATTEMPTS : draw < FAIL_ALWAYS + FAIL_ONCE ? 1 : 0;
+        cancelAfterMs = random.nextInt(PERCENT) < CANCELS ? random.nextInt(MAX_CANCEL_AFTER_MS) : Long.MAX_VALUE;
+    }
+
+    String id() {
+        return id;
+    }
+
+    /** Returns the body of its submission. */
+    String body() {
+        StringBuilder json = new StringBuilder("{\"specification\":\"work=" + workMs + " fails=" + fails + "\",");
+        json.append("\"steps\":[");
+        for (int i = 0; i < steps.size(); i++) {
+            Step s = steps.get(i);
+            json.append(i == 0 ? "" : ",").append("{\"count\":" + s.count() + ",\"gpu\":1,\"gang\":" + s.gang());
+            json.append(i == 0 ? "}" : ",\"after\":[" + (i - 1) + "]}");
+        }
+        return json.append("]}").toString();
+    }
+
+    int steps() {
+        return steps.size();
+    }
+
+    boolean gang(int step) {
+        return steps.get(step).gang();
+    }
+
+    /** Returns the names of a step's tasks. */
+    List<String> tasks(int step) {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < steps.get(step).count(); i++) {
+            names.add(id + ".0." + step + "." + i);
+        }
+        return names;
+    }
+
+    /** Returns how long its steps take one after the other when nothing fails, in milliseconds. */
+    long chainMs() {
+        return (long) workMs * steps.size();
+    }
+
+    /** Returns the work of all its tasks, in milliseconds. */
+    long totalMs() {
+        return (long) workMs * steps.stream().mapToInt(Step::count).sum();
+    }
+
+    boolean failsAlways() {
+        return fails == ALL_ATTEMPTS;
+    }
+
+    boolean toCancel() {
+        return cancelAfterMs < Long.MAX_VALUE;
+    }
+
+    long cancelAfterMs() {
+        return cancelAfterMs;
+    }
+
+    /** Takes note of an answer to an attempt to submit it, at a time in milliseconds; 0 stands for no answer. */
+    void answered(int status, long nowMs) {
+        switch (status) {
+            case 200:
+                acceptedMs = Math.min(acceptedMs, nowMs);
+                break;
+            case 429:
+            case 503:
+                refused = true;
+                break;
+            default:
+                unknown = true;
+        }
+    }
+
+    void cancelSent(long nowMs) {
+        cancelSentMs = Math.min(cancelSentMs, nowMs);
+    }
+
+    void cancelled(long nowMs) {
+        cancelledMs = Math.min(cancelledMs, nowMs);
+    }
+
+    boolean accepted() {
+        return acceptedMs < Long.MAX_VALUE;
+    }
+
+    /** Returns when it was first accepted; the largest value when it was not. */
+    long acceptedMs() {
+        return acceptedMs;
+    }
+
+    boolean isCancelSent() {
+        return cancelSentMs < Long.MAX_VALUE;
+    }
+
+    /** Returns when its cancelling was first confirmed; the largest value when it was not. */
+    long cancelledMs() {
+        return cancelledMs;
+    }
+
+    /** Tells whether every attempt to submit it was refused. */
+    boolean refused() {
+        return refused && !unknown && !accepted();
+    }
+}
--- /dev/null
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/SoakTraffic.java
@@ -0,0 +1,233 @@
+package io.pollenreach.systemtest;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.pollenreach.Clock;
+
+/**
+ * Submits, cancels and asks for jobs on open connections while faults last, and checks the answers.
+ *
+ * <p>{@link #stop()} lets attempts that have begun end; the jobs may be read by any thread.
+ */
+final class SoakTraffic implements AutoCloseable {
+    private static final int SUBMITTERS = 2;
+    private static final int FOLLOW_UPS = 4;
+    private static final int MIN_PAUSE_MS = 300;
+    private static final int MAX_PAUSE_MS = 1_200;
+    private static final int RETRY_MS = 150;
+    private static final int ASK_MS = 100;
+    private static final int REPEATED_IN = 10;
+    private static final int MAX_REPEAT_AFTER_MS = 3_000;
+    private static final int CANCEL_ATTEMPTS = 60;
+    /** How long a submitter tries. */
+    private static final long PATIENCE_MS = 8_000;
+    /** Longer than any submitter or call lasts. */
+    private static final long STOP_MS = 30_000;
+
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final int NONE = 0;
+    private static final int NOT_CONNECTED = -1;
+    /** What an entry may answer at any time; it answers anything else only while it is disturbed. */
+    private static final Set<Integer> EXPECTED = Set.of(NOT_CONNECTED, NONE, OK, 429, 503, 504);
+
+    private record Answer(int status, String body) {}
+
+    private final Clock clock = Clock.system();
+    private final PlatformCluster cluster;
+    private final FaultInjector faults;
+    private final List<SoakJob> jobs = new CopyOnWriteArrayList<>();
+    private final List<String> violations = new CopyOnWriteArrayList<>();
+    private final List<String> entries;
+    private final ExecutorService loops = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService followUps = Executors.newScheduledThreadPool(FOLLOW_UPS);
+    private volatile boolean stopped;
+
+    SoakTraffic(PlatformCluster cluster, FaultInjector faults) {
+        this.cluster = cluster;
+        this.faults = faults;
+        entries = cluster.entries();
+    }
+
+    void start(long seed) {
+        for (int i = 0; i < SUBMITTERS; i++) {
+            Random random = new Random(seed * SUBMITTERS + i);
+            loops.execute(() -> submitAll(random));
+        }
+        entries.forEach(e -> loops.execute(() -> askAll(e)));
+    }
+
+    /** Ends the submissions, and waits for all attempts that have begun. */
+    void stop() throws InterruptedException {
+        stopped = true;
+        loops.shutdown();
+        if (!loops.awaitTermination(STOP_MS, TimeUnit.MILLISECONDS)) {
+            violations.add("submitters did not end");
+        }
+        followUps.shutdown();
+        if (!followUps.awaitTermination(STOP_MS, TimeUnit.MILLISECONDS)) {
+            violations.add("cancels did not end");
+        }
+    }
+
+    List<SoakJob> jobs() {
+        return jobs;
+    }
+
+    /** Returns what was wrong about the answers. */
+    List<String> violations() {
+        return violations;
+    }
+
+    private void submitAll(Random random) {
+        HttpClient http = client();
+        while (!stopped) {
+            SoakJob job = new SoakJob(random);
+            int first = random.nextInt(entries.size());
+            boolean repeated = random.nextInt(REPEATED_IN) == 0;
+            int repeatAfterMs = random.nextInt(MAX_REPEAT_AFTER_MS);
+            jobs.add(job);
+            submit(http, job, first);
+            if (job.accepted() && repeated) {
+                followUps.schedule(
+                        () -> call(http, entries.get(first), "POST", job.id(), job.body()),
+                        repeatAfterMs,
+                        TimeUnit.MILLISECONDS);
+            }
+            if (job.accepted() && job.toCancel()) {
+                followUps.schedule(() -> cancel(http, job), job.cancelAfterMs(), TimeUnit.MILLISECONDS);
+            }
+            sleep(MIN_PAUSE_MS + random.nextInt(MAX_PAUSE_MS - MIN_PAUSE_MS));
+        }
+    }
+
+    private void submit(HttpClient http, SoakJob job, int first) {
+        long untilMs = clock.nowMs() + PATIENCE_MS;
+        for (int i = first; clock.nowMs() < untilMs && !job.accepted(); i++) {
+            Answer answer = call(http, entries.get(i % entries.size()), "POST", job.id(), job.body());
+            if (answer.status() != NOT_CONNECTED) {
+                job.answered(answer.status(), clock.nowMs());
+            }
+            if (!job.accepted()) {
+                sleep(RETRY_MS);
+            }
+        }
+    }
+
+    private void cancel(HttpClient http, SoakJob job) {
+        job.cancelSent(clock.nowMs());
+        for (int i = 0; i < CANCEL_ATTEMPTS; i++) {
+            Answer answer = callOwn(http, entries.get(i % entries.size()), "DELETE", job);
+            if (answer.status() == OK) {
+                job.cancelled(clock.nowMs());
+                return;
+            }
+            sleep(RETRY_MS);
+        }
+    }
+
+    private void askAll(String entry) {
+        HttpClient http = client();
+        while (!stopped) {
+            for (SoakJob job : recent()) {
+                if (job.accepted() && !stopped) {
+                    checkState(job, callOwn(http, entry, "GET", job).body(), entry);
+                }
+            }
+            sleep(ASK_MS);
+        }
+    }
+
+    private List<SoakJob> recent() {
+        List<SoakJob> all = new ArrayList<>(jobs);
+        return all.subList(Math.max(0, all.size() - 20), all.size());
+    }
+
+    private void checkState(SoakJob job, String state, String entry) {
+        if (state.contains("completed") && !SoakChecks.allDone(job, cluster.record())) {
+            violations.add(job.id() + " is shown as completed at " + entry + " before its tasks have ended");
+        }
+        if (state.contains("failed") && !job.failsAlways() || state.contains("cancelled") && !job.isCancelSent()) {
+            violations.add(job.id() + " is shown as " + state + " at " + entry + " without cause");
+        }
+    }
+
+    /** Calls for a job that was accepted, which an entry that is in touch must know. */
+    private Answer callOwn(HttpClient http, String entry, String method, SoakJob job) {
+        long sentMs = clock.nowMs();
+        Answer answer = call(http, entry, method, job.id(), "");
+        boolean known = sentMs > job.acceptedMs() + SoakChecks.VISIBLE_MS;
+        if (answer.status() == GONE && known && isInTouch(entry, sentMs)) {
+            violations.add(job.id() + " is not known at " + entry + " to " + method);
+        }
+        return answer;
+    }
+
+    private Answer call(HttpClient http, String entry, String method, String id, String body) {
+        long sentMs = clock.nowMs();
+        Answer answer = send(http, entry, method, id, body);
+        if (!EXPECTED.contains(answer.status()) && answer.status() != GONE && isInTouch(entry, sentMs)) {
+            violations.add(entry + " answered " + answer.status() + " to " + method + " " + id);
+        }
+        return answer;
+    }
+
+    private boolean isInTouch(String entry, long sentMs) {
+        return faults.isCalm(entry, sentMs - SoakChecks.CONTACT_TIMEOUT_MS, clock.nowMs());
+    }
+
+    private Answer send(HttpClient http, String entry, String method, String id, String body) {
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + cluster.ingress(entry) + PlatformCluster.PREFIX + id))
+                .timeout(CALL_TIMEOUT)
+                .headers("Authorization", "Bearer " + PlatformCluster.KEY)
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            HttpResponse<String> r = http.send(request, HttpResponse.BodyHandlers.ofString());
+            return new Answer(r.statusCode(), r.body());
+        } catch (ConnectException e) {
+            return new Answer(NOT_CONNECTED, "");
+        } catch (IOException e) {
+            return new Answer(NONE, "");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Answer(NONE, "");
+        }
+    }
+
+    private static HttpClient client() {
+        return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    }
+
+    private static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        loops.shutdownNow();
+        followUps.shutdownNow();
+    }
+}
