--- a/core/src/main/java/io/pollenreach/internal/batch/RunReleases.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunReleases.java
@@ -3,9 +3,10 @@
 import java.util.List;
 
 /**
- * Gives up runs whose ends were not listed, so that their tasks may be placed again.
+ * Gives up runs whose agent listed no end, so that their tasks may be placed again.
  *
- * <p>Invariant: no run is given up elsewhere. Not thread-safe: confined to the scheduler's thread.
+ * <p>Invariant: only runs that their agent has refused or stopped are given up elsewhere. Not thread-safe: confined to
+ * the scheduler's thread.
  */
 final class RunReleases {
     private final SchedulerState state;
