--- a/systemtest/src/test/java/io/pollenreach/systemtest/FaultSoakTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/FaultSoakTest.java
@@ -20,6 +20,7 @@
  */
 class FaultSoakTest {
     private static final int SECONDS = 8;
+    // Seed 102 failed once as seed 3 does; its agent was silenced and paused.
     private static final List<Case> SHORT_RUN = List.of(new Case(101, SECONDS), new Case(102, SECONDS));
 
     /** Seeds that failed once, with the length of their run, which also decides the faults. */
