Review: show a runner that one odd heartbeat takes out of use

Promise: LOST, no job has nothing running for 3 s with room for it twice over, finish_s after the end of the traffic. Order of events: each agent gets one heartbeat with its runner's identifier and born, a service that no config names and a sequence of 1,000,000, and confirms it. The runners' own heartbeats then count as late, though they are confirmed; a job that is accepted afterwards never starts. Cause: BatchAgent.take replaces what is known of a worker by whatever names its process, without a look at the service.

It takes the place of a lesser case: that pending leaves out placed jobs is case 10 now, and the empty count after an election is a trial in the report.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
   echo "Run the build of deploy/system.toml and review/build-2.sh first."
   exit 2
 fi
-exec java -Xmx256m -cp "target/review-2:target/lib/*" second.Main election "$folder"
+exec java -Xmx256m -cp "target/review-2:target/lib/*" second.Main begun "$folder"
--- a/review/second/ChangedLease.java
+++ b/review/second/ChangedLease.java
@@ -9,10 +9,20 @@
 
 /** The settings files change to a longer lease, a process beside a runner is killed, and its node is then cut off. */
 final class ChangedLease implements Main.Case {
-    private static final String BEFORE = "bounds.max-hold-ms=6000";
-    private static final String AFTER = "bounds.max-hold-ms=10000";
     private static final long CUT_MS = 12_000;
 
+    private final long beforeMs;
+    private final long afterMs;
+
+    ChangedLease(long beforeMs, long afterMs) {
+        this.beforeMs = beforeMs;
+        this.afterMs = afterMs;
+    }
+
+    private static String line(long ms) {
+        return "bounds.max-hold-ms=" + ms;
+    }
+
     @Override
     public boolean broken(Cluster c, boolean trouble) throws Exception {
         Set<String> cut = ConcurrentHashMap.newKeySet();
@@ -20,24 +30,31 @@
             Answer a = cut.contains(process) ? Answer.silent() : perform.perform();
             return cut.contains(process) ? Answer.silent() : a;
         };
+        c.maxHoldMs = beforeMs;
         c.start(3, 3);
         String id = Cluster.id(1);
         String task = id + ".0.0.0";
-        c.submit("e1", id, Cluster.job("work=60000", "{\"count\":1,\"cpu\":1000,\"gpu\":1,\"estimated-ms\":60000}"));
+        c.submit("e1", id, Cluster.job("work=60000", Cluster.step(1, 60_000)));
         c.await(5_000, "the job runs", () -> c.workers.values().stream().anyMatch(w -> w.atWork(task) > 0));
         String agent = at(c, task).get(0);
         if (trouble) {
-            c.workers.values().forEach(w -> w.maxHoldMs = 10_000);
+            c.workers.values().forEach(w -> w.maxHoldMs = afterMs);
             for (String e : c.entries()) {
-                c.change(e, BEFORE, AFTER, e.equals("e1"));
+                c.change(e, line(beforeMs), line(afterMs), e.equals("e1"));
             }
             for (String a : c.workers.keySet()) {
-                c.change(a, BEFORE, AFTER, false);
+                c.change(a, line(beforeMs), line(afterMs), false);
             }
             Thread.sleep(3_000);
-            c.kill(agent);
+            // Those whose restart makes the scheduler count with less than the agent grants.
+            List<String> restarted = afterMs > beforeMs ? List.of(agent) : c.entries();
+            for (String p : restarted) {
+                c.kill(p);
+            }
             Thread.sleep(500);
-            c.launch(agent);
+            for (String p : restarted) {
+                c.launch(p);
+            }
             Thread.sleep(8_000);
             cut.add(agent);
             c.record.log("the node of " + agent + " is cut off for " + CUT_MS + " ms");
--- a/review/second/Cluster.java
+++ b/review/second/Cluster.java
@@ -36,6 +36,9 @@
     final Recorder record;
     final Store store = new Store();
     final Map<String, Worker> workers = new LinkedHashMap<>();
+    /** The longest lease that the platform allows at the start, in milliseconds. */
+    long maxHoldMs = 6_000;
+
     private final Path directory;
     private final Map<String, Process> processes = new LinkedHashMap<>();
     private final Map<String, ProcessBuilder> builders = new LinkedHashMap<>();
@@ -106,7 +109,7 @@
                 "bounds.config-apply-ms=2000",
                 "bounds.strict-revocation=true",
                 "bounds.revocation-ms=5000",
-                "bounds.max-hold-ms=6000",
+                "bounds.max-hold-ms=" + maxHoldMs,
                 "bounds.stop-timeout-ms=400",
                 "bounds.gang-timeout-ms=3000",
                 "bounds.cancel_ms=3000",
@@ -133,6 +136,7 @@
         String ip = nextIp();
         String control = free(ip);
         Worker w = new Worker(ip, "i-" + name, rack, control, record);
+        w.maxHoldMs = maxHoldMs;
         workers.put(name, w);
         List<String> s = settings(name, "side", ip);
         s.add("listen-addresses.control=" + control);
@@ -230,6 +234,11 @@
         return "{\"specification\":\"" + specification + "\",\"steps\":[" + step + "]}";
     }
 
+    /** Returns a step of one subtask. */
+    static String step(int accelerators, long estimatedMs) {
+        return "{\"count\":1,\"cpu\":1000,\"gpu\":" + accelerators + ",\"estimated-ms\":" + estimatedMs + "}";
+    }
+
     /** Submits a job and expects it to be accepted. */
     void submit(String entry, String id, String body) throws Exception {
         Reply r = call(entry, "POST", id, body);
--- a/review/second/CountAfterElection.java
+++ b/review/second/CountAfterElection.java
@@ -9,12 +9,12 @@
     public boolean broken(Cluster c, boolean trouble) throws Exception {
         c.start(3, 2);
         for (int i = 0; i < 2; i++) {
-            c.submit("e1", Cluster.id(100 + i), Cluster.job("work=100000", "{\"count\":1,\"cpu\":8000,\"gpu\":8,\"estimated-ms\":60000}"));
+            c.submit("e1", Cluster.id(100 + i), Cluster.job("work=100000", Cluster.step(8, 60_000)));
         }
         c.await(5_000, "the workers are full", () -> c.workers.values().stream()
                 .allMatch(w -> w.hasRun(Cluster.id(100)) || w.hasRun(Cluster.id(101))));
         for (int i = 0; i < JOBS; i++) {
-            c.submit("e1", Cluster.id(i), Cluster.job("work=5000", "{\"count\":1,\"cpu\":1000,\"gpu\":1,\"estimated-ms\":5000}"));
+            c.submit("e1", Cluster.id(i), Cluster.job("work=5000", Cluster.step(1, 5_000)));
         }
         Thread.sleep(VISIBLE_MS + 1_500);
         String leader = Store.JSON.readTree(c.store.value("leader", "", "term")).path("holder").asText();
--- a/review/second/LateAccept.java
+++ b/review/second/LateAccept.java
@@ -39,7 +39,7 @@
             late.start();
             return Answer.silent();
         };
-        c.call("e1", "POST", id, Cluster.job("work=20000", "{\"count\":1,\"cpu\":1000,\"gpu\":1,\"estimated-ms\":20000}"));
+        c.call("e1", "POST", id, Cluster.job("work=20000", Cluster.step(1, 20_000)));
         // The consumer has no use for the job any more.
         Cluster.Reply cancelled = null;
         for (int i = 0; i < 10; i++) {
@@ -58,7 +58,8 @@
         boolean before = hasRun(c, id);
         while (c.record.nowMs() < ackMs + 15_000) {
             if (!before && hasRun(c, id)) {
-                c.record.log("a subtask of the cancelled job began " + (c.record.nowMs() - ackMs) + " ms after the confirmation");
+                c.record.log("a subtask of the cancelled job began " + (c.record.nowMs() - ackMs)
+                        + " ms after the confirmation");
                 c.call("e3", "GET", id, "");
                 Thread.sleep(1_500);
                 return true;
--- a/review/second/LatePace.java
+++ b/review/second/LatePace.java
@@ -37,9 +37,11 @@
             late.start();
             return Answer.silent();
         };
-        c.submit("e1", Cluster.id(1), Cluster.job("serves=95", "{\"count\":1,\"cpu\":8000,\"gpu\":4,\"long-running\":true,\"target-ms\":" + TARGET_MS + ",\"image\":\"s\"}"));
+        String serving = "{\"count\":1,\"cpu\":8000,\"gpu\":4,\"long-running\":true,\"image\":\"s\",\"target-ms\":" + TARGET_MS + "}";
+        String filling = "{\"count\":1,\"cpu\":8000,\"gpu\":1,\"long-running\":true,\"image\":\"f\",\"fills\":true}";
+        c.submit("e1", Cluster.id(1), Cluster.job("serves=95", serving));
         c.await(5_000, "the serving subtask is at work", () -> w.latencyMs(true) > 0);
-        c.submit("e1", Cluster.id(2), Cluster.job("disturbs=40", "{\"count\":1,\"cpu\":8000,\"gpu\":1,\"long-running\":true,\"fills\":true,\"image\":\"f\"}"));
+        c.submit("e1", Cluster.id(2), Cluster.job("disturbs=40", filling));
         long startMs = c.record.nowMs();
         long overSinceMs = -1;
         while (c.record.nowMs() < startMs + 40_000) {
@@ -51,7 +53,8 @@
                 c.record.log("the serving subtask is over its target: " + w.latencyMs(true) + " ms");
             } else if (c.record.nowMs() - overSinceMs > INTERFERENCE_MS) {
                 boolean calm = c.record.nowMs() - lateAtMs[0] > 0 || !trouble;
-                c.record.log("over its target for " + INTERFERENCE_MS + " ms on end, by what fills beside it alone; calm: " + calm);
+                c.record.log("over its target for " + INTERFERENCE_MS
+                        + " ms on end, by what fills beside it alone; calm: " + calm);
                 Thread.sleep(8_000);
                 c.record.log("8 s later: " + w.latencyMs(true) + " ms, without what fills " + w.latencyMs(false)
                         + " ms; pace " + w.fillerPace());
--- a/review/second/Main.java
+++ b/review/second/Main.java
@@ -3,15 +3,22 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** Runs one case: {@code second.Main CASE FOLDER}; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+/**
+ * Runs one case: {@code second.Main CASE FOLDER}.
+ *
+ * <p>Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+ */
 final class Main {
     /** A case; returns whether the rule was broken. */
     interface Case {
         boolean broken(Cluster c, boolean trouble) throws Exception;
     }
 
+    // "lowered", "election" and "pace" are trials that the report names; no folder runs them.
     private static final Map<String, Case> CASES = Map.of(
-            "lease", new ChangedLease(),
+            "lease", new ChangedLease(6_000, 10_000),
+            "heartbeat", new OddHeartbeat(),
+            "lowered", new ChangedLease(10_000, 6_000),
             "cancel", new LateAccept(),
             "refused", new FalseRefusal(),
             "begun", new NotBegun(),
--- a/review/second/NotBegun.java
+++ b/review/second/NotBegun.java
@@ -6,7 +6,7 @@
 
 import second.MiniHttp.Answer;
 
-/** Jobs are placed on a worker whose node is cut off; nothing of them begins, and the count of waiting jobs lacks them. */
+/** Jobs are placed on a worker whose node is cut off; none of them begins, and the count of waiting jobs lacks them. */
 final class NotBegun implements Main.Case {
     private static final int JOBS = 8;
     private static final long CUT_MS = 12_000;
@@ -23,9 +23,12 @@
         c.start(3, 3);
         // Two of three workers are full for the whole case.
         for (int i = 100; i < 102; i++) {
-            c.submit("e1", Cluster.id(i), Cluster.job("work=60000", "{\"count\":1,\"cpu\":8000,\"gpu\":8,\"estimated-ms\":60000}"));
+            c.submit("e1", Cluster.id(i), Cluster.job("work=60000", Cluster.step(8, 60_000)));
         }
-        c.await(5_000, "the long jobs run", () -> workerOf(c, Cluster.id(100)) != null && workerOf(c, Cluster.id(101)) != null);
+        c.await(
+                5_000,
+                "the long jobs run",
+                () -> workerOf(c, Cluster.id(100)) != null && workerOf(c, Cluster.id(101)) != null);
         Set<String> busy = Set.of(workerOf(c, Cluster.id(100)), workerOf(c, Cluster.id(101)));
         String free = c.workers.keySet().stream().filter(a -> !busy.contains(a)).findFirst().orElseThrow();
         if (trouble) {
@@ -35,7 +38,7 @@
         long cutMs = c.record.nowMs();
         Thread.sleep(200);
         for (int i = 0; i < JOBS; i++) {
-            c.submit("e1", Cluster.id(i), Cluster.job("work=60000", "{\"count\":1,\"cpu\":1000,\"gpu\":1,\"estimated-ms\":60000}"));
+            c.submit("e1", Cluster.id(i), Cluster.job("work=60000", Cluster.step(1, 60_000)));
         }
         long acceptedMs = c.record.nowMs();
         boolean broken = false;
--- a/review/second/Store.java
+++ b/review/second/Store.java
@@ -14,7 +14,7 @@
 import second.MiniHttp.Call;
 
 /**
- * The platform's metadata store, as PROTOCOL.md describes it: rows in tables and parts, transactions, reads and the feed.
+ * The platform's metadata store, as PROTOCOL.md describes it: rows in tables and parts, transactions, reads, the feed.
  *
  * <p>Each process reaches it at an address of its own, so that a case can disturb the calls of one. Thread-safe.
  */
--- a/review/second/Worker.java
+++ b/review/second/Worker.java
@@ -78,6 +78,7 @@
     private long leaseUntilMs;
     private long lastEnd;
     private long sequence;
+    private volatile int confirmedHeartbeats;
     volatile Disturbance disturbance = (call, body, perform) -> perform.perform();
 
     Worker(String ip, String instance, String rack, String control, Recorder record) throws Exception {
@@ -108,8 +109,20 @@
     }
 
     private void announce() {
+        if (announceAs("pool", ++sequence) == 200) {
+            confirmedHeartbeats++;
+        }
+    }
+
+    /** Returns how many heartbeats of this runner itself were confirmed. */
+    int confirmedHeartbeats() {
+        return confirmedHeartbeats;
+    }
+
+    /** Sends a heartbeat with this runner's identifier; returns the status of the answer, 0 for none. */
+    int announceAs(String service, long number) {
         ObjectNode n = Store.JSON.createObjectNode();
-        n.put("service", "pool")
+        n.put("service", service)
                 .put("address", "127.0.0.1:" + port())
                 .put("zone", "setubal")
                 .put("version", "v1")
@@ -118,19 +131,21 @@
                 .put("cold-remaining-ms", 0)
                 .put("born", born)
                 .put("clock-ms", nowMs())
-                .put("sequence", ++sequence);
+                .put("sequence", number);
         n.putObject("capacity").put("cpu", 32_000).put("requested-memory-mb", 65_536).put("gpu", 8);
         n.putArray("labels").add("a").add(rack);
         try {
-            http.send(
-                    HttpRequest.newBuilder(URI.create("http://" + control + "/Instances.Heartbeat/" + instance))
-                            .timeout(Duration.ofSeconds(1))
-                            .header("Content-Type", "application/json")
-                            .POST(HttpRequest.BodyPublishers.ofString(n.toString()))
-                            .build(),
-                    HttpResponse.BodyHandlers.ofString());
+            return http.send(
+                            HttpRequest.newBuilder(URI.create("http://" + control + "/Instances.Heartbeat/" + instance))
+                                    .timeout(Duration.ofSeconds(1))
+                                    .header("Content-Type", "application/json")
+                                    .POST(HttpRequest.BodyPublishers.ofString(n.toString()))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString())
+                    .statusCode();
         } catch (Exception e) {
             // The next heartbeat follows.
+            return 0;
         }
     }
 
