--- a/review/second/ChangedLease.java
+++ b/review/second/ChangedLease.java
@@ -7,9 +7,11 @@
 
 import second.MiniHttp.Answer;
 
-/** The settings files change to a longer lease, a process beside a runner is killed, and its node is then cut off. */
+/**
+ * The settings files change to another lease, some processes start again, and later the store turns one machine away.
+ */
 final class ChangedLease implements Main.Case {
-    private static final long CUT_MS = 12_000;
+    private static final long CUT_MS = 9_000;
 
     private final long beforeMs;
     private final long afterMs;
@@ -26,10 +28,8 @@
     @Override
     public boolean broken(Cluster c, boolean trouble) throws Exception {
         Set<String> cut = ConcurrentHashMap.newKeySet();
-        c.store.disturbance = (process, call, perform) -> {
-            Answer a = cut.contains(process) ? Answer.silent() : perform.perform();
-            return cut.contains(process) ? Answer.silent() : a;
-        };
+        c.store.disturbance =
+                (process, call, perform) -> cut.contains(process) ? Answer.of(503, "") : perform.perform();
         c.maxHoldMs = beforeMs;
         c.start(3, 3);
         String id = Cluster.id(1);
@@ -57,11 +57,14 @@
             }
             Thread.sleep(8_000);
             cut.add(agent);
-            c.record.log("the node of " + agent + " is cut off for " + CUT_MS + " ms");
+            c.record.log("the store turns the machine of " + agent + " away with 503 for " + CUT_MS + " ms");
         }
         long cutMs = c.record.nowMs();
         long twiceMs = 0;
-        while (c.record.nowMs() < cutMs + CUT_MS) {
+        while (c.record.nowMs() < cutMs + CUT_MS + 3_000) {
+            if (c.record.nowMs() > cutMs + CUT_MS) {
+                cut.clear();
+            }
             List<String> at = at(c, task);
             if (at.size() > 1 && twiceMs == 0) {
                 twiceMs = c.record.nowMs();
--- a/review/second/LatePace.java
+++ b/review/second/LatePace.java
@@ -37,7 +37,8 @@
             late.start();
             return Answer.silent();
         };
-        String serving = "{\"count\":1,\"cpu\":8000,\"gpu\":4,\"long-running\":true,\"image\":\"s\",\"target-ms\":" + TARGET_MS + "}";
+        String serving = "{\"count\":1,\"cpu\":8000,\"gpu\":4,\"long-running\":true,\"image\":\"s\","
+                + "\"target-ms\":" + TARGET_MS + "}";
         String filling = "{\"count\":1,\"cpu\":8000,\"gpu\":1,\"long-running\":true,\"image\":\"f\",\"fills\":true}";
         c.submit("e1", Cluster.id(1), Cluster.job("serves=95", serving));
         c.await(5_000, "the serving subtask is at work", () -> w.latencyMs(true) > 0);
--- a/review/second/OddHeartbeat.java
+++ b/review/second/OddHeartbeat.java
@@ -13,7 +13,8 @@
         if (trouble) {
             for (Worker w : c.workers.values()) {
                 c.record.log("another writer: heartbeat of " + w.instance()
-                        + ", service \"elsewhere\", sequence 1000000; answered " + w.announceAs("elsewhere", 1_000_000));
+                        + ", service \"elsewhere\", sequence 1000000; answered "
+                        + w.announceAs("elsewhere", 1_000_000));
             }
         }
         // Two heartbeats of the runners themselves.
