--- a/review/second/Main.java
+++ b/review/CaseMain.java
@@ -4,14 +4,14 @@
 import java.util.Map;
 
 /**
- * Runs one case: {@code second.Main CASE FOLDER}.
+ * Runs one case: {@code second.CaseMain CASE FOLDER}.
  *
  * <p>Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
  */
-final class Main {
+final class CaseMain {
     /** A case; returns whether the rule was broken. */
     interface Case {
-        boolean broken(Cluster c, boolean trouble) throws Exception;
+        boolean broken(ProgramCluster c, boolean trouble) throws Exception;
     }
 
     // "lowered", "election" and "pace" are trials that the report names; no folder runs them.
@@ -28,7 +28,7 @@
     /** No case takes longer, in milliseconds. */
     private static final long LIMIT_MS = 115_000;
 
-    private Main() {}
+    private CaseMain() {}
 
     public static void main(String[] args) throws Exception {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
@@ -46,7 +46,7 @@
         watchdog.setDaemon(true);
         watchdog.start();
         int status;
-        try (Cluster c = new Cluster(record)) {
+        try (ProgramCluster c = new ProgramCluster(record)) {
             record.log(trouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
             boolean broken = CASES.get(args[0]).broken(c, trouble);
             record.log(broken ? "result: the rule is broken" : "result: the rule is kept");
--- a/review/second/ChangedLease.java
+++ b/review/ChangedLease.java
@@ -10,7 +10,7 @@
 /**
  * The settings files change to another lease, some processes start again, and later the store turns one machine away.
  */
-final class ChangedLease implements Main.Case {
+final class ChangedLease implements CaseMain.Case {
     private static final long CUT_MS = 9_000;
 
     private final long beforeMs;
@@ -26,15 +26,15 @@
     }
 
     @Override
-    public boolean broken(Cluster c, boolean trouble) throws Exception {
+    public boolean broken(ProgramCluster c, boolean trouble) throws Exception {
         Set<String> cut = ConcurrentHashMap.newKeySet();
         c.store.disturbance =
                 (process, call, perform) -> cut.contains(process) ? Answer.of(503, "") : perform.perform();
         c.maxHoldMs = beforeMs;
         c.start(3, 3);
-        String id = Cluster.id(1);
+        String id = ProgramCluster.id(1);
         String task = id + ".0.0.0";
-        c.submit("e1", id, Cluster.job("work=60000", Cluster.step(1, 60_000)));
+        c.submit("e1", id, ProgramCluster.job("work=60000", ProgramCluster.step(1, 60_000)));
         c.await(5_000, "the job runs", () -> c.workers.values().stream().anyMatch(w -> w.atWork(task) > 0));
         String agent = at(c, task).get(0);
         if (trouble) {
@@ -82,7 +82,7 @@
     }
 
     /** Returns the agents on whose runners a run of a subtask is at work. */
-    private static List<String> at(Cluster c, String task) {
+    private static List<String> at(ProgramCluster c, String task) {
         return c.workers.entrySet().stream()
                 .filter(w -> w.getValue().atWork(task) > 0)
                 .map(Map.Entry::getKey)
--- a/review/second/CountAfterElection.java
+++ b/review/CountAfterElection.java
@@ -1,23 +1,23 @@
 package second;
 
 /** The process that last wrote to the store under a condition is killed while jobs wait. */
-final class CountAfterElection implements Main.Case {
+final class CountAfterElection implements CaseMain.Case {
     private static final int JOBS = 10;
     private static final long VISIBLE_MS = 5_000;
 
     @Override
-    public boolean broken(Cluster c, boolean trouble) throws Exception {
+    public boolean broken(ProgramCluster c, boolean trouble) throws Exception {
         c.start(3, 2);
         for (int i = 0; i < 2; i++) {
-            c.submit("e1", Cluster.id(100 + i), Cluster.job("work=100000", Cluster.step(8, 60_000)));
+            c.submit("e1", ProgramCluster.id(100 + i), ProgramCluster.job("work=100000", ProgramCluster.step(8, 60_000)));
         }
         c.await(5_000, "the workers are full", () -> c.workers.values().stream()
-                .allMatch(w -> w.hasRun(Cluster.id(100)) || w.hasRun(Cluster.id(101))));
+                .allMatch(w -> w.hasRun(ProgramCluster.id(100)) || w.hasRun(ProgramCluster.id(101))));
         for (int i = 0; i < JOBS; i++) {
-            c.submit("e1", Cluster.id(i), Cluster.job("work=5000", Cluster.step(1, 5_000)));
+            c.submit("e1", ProgramCluster.id(i), ProgramCluster.job("work=5000", ProgramCluster.step(1, 5_000)));
         }
         Thread.sleep(VISIBLE_MS + 1_500);
-        String leader = Store.JSON.readTree(c.store.value("leader", "", "term")).path("holder").asText();
+        String leader = RowStore.JSON.readTree(c.store.value("leader", "", "term")).path("holder").asText();
         if (trouble) {
             c.kill(leader);
         }
@@ -30,12 +30,12 @@
                 if (e.equals(leader)) {
                     continue;
                 }
-                Cluster.Reply r = c.call(e, "GET", "", "", false);
-                int pending = r.status() == 200 ? Store.JSON.readTree(r.body()).path("pending").asInt() : -1;
+                ProgramCluster.Reply r = c.call(e, "GET", "", "", false);
+                int pending = r.status() == 200 ? RowStore.JSON.readTree(r.body()).path("pending").asInt() : -1;
                 String now = e + " " + r.status() + " " + r.body();
                 if (!now.substring(2).equals(last)) {
                     last = now.substring(2);
-                    c.record.log("consumer at " + e + ": GET " + Cluster.PREFIX + " -> " + r.status() + " " + r.body());
+                    c.record.log("consumer at " + e + ": GET " + ProgramCluster.PREFIX + " -> " + r.status() + " " + r.body());
                 }
                 if (r.status() == 200 && pending * 2 < JOBS) {
                     c.record.log(e + ", which was not disturbed, gives " + pending + " as pending; " + JOBS
--- a/review/second/FalseRefusal.java
+++ b/review/FalseRefusal.java
@@ -11,7 +11,7 @@
 import second.MiniHttp.Answer;
 
 /** Many jobs come while the store is slow and loses answers of writes, and then refuses all calls. */
-final class FalseRefusal implements Main.Case {
+final class FalseRefusal implements CaseMain.Case {
     private static final long SLOW_MS = 2_400;
     private static final long DOWN_MS = 2_200;
     private static final long CALM_MS = 2_500;
@@ -22,7 +22,7 @@
     private static final int JOBS = 40;
 
     @Override
-    public boolean broken(Cluster c, boolean trouble) throws Exception {
+    public boolean broken(ProgramCluster c, boolean trouble) throws Exception {
         long[] slowFromMs = {Long.MAX_VALUE};
         AtomicInteger writes = new AtomicInteger();
         c.store.disturbance = (process, call, perform) -> {
@@ -40,7 +40,7 @@
                 return Answer.of(503, "");
             }
             if (call.path().equals("/rows-tx") && writes.incrementAndGet() % 3 == 0) {
-                JsonNode tx = Store.JSON.readTree(call.body());
+                JsonNode tx = RowStore.JSON.readTree(call.body());
                 JsonNode first = tx.path("writes").path(0);
                 c.record.log("store: carried out a write of " + process + " to " + first.path("table").asText() + "/"
                         + first.path("key").asText() + " (" + a.status() + "); its answer is lost");
@@ -58,13 +58,13 @@
                         + " ms, and then refuses all calls for " + DOWN_MS + " ms");
             }
             for (int i = 0; i < JOBS; i++) {
-                String id = Cluster.id(100 * cycle + i);
+                String id = ProgramCluster.id(100 * cycle + i);
                 String entry = "e" + (1 + i % 3);
                 Thread t = new Thread(() -> replies.put(id, c.call(
                                 entry,
                                 "POST",
                                 id,
-                                Cluster.job("work=200", "{\"count\":1,\"cpu\":100,\"gpu\":0,\"estimated-ms\":200}"))
+                                ProgramCluster.job("work=200", "{\"count\":1,\"cpu\":100,\"gpu\":0,\"estimated-ms\":200}"))
                         .status()));
                 t.start();
                 consumers.add(t);
--- a/review/second/LateAccept.java
+++ b/review/LateAccept.java
@@ -6,20 +6,20 @@
 import second.MiniHttp.Answer;
 
 /** A job is cancelled while the write that accepts it is unanswered; the store carries the write out later. */
-final class LateAccept implements Main.Case {
+final class LateAccept implements CaseMain.Case {
     private static final long LATE_MS = 6_000;
     private static final long CANCEL_MS = 3_000;
 
     @Override
-    public boolean broken(Cluster c, boolean trouble) throws Exception {
+    public boolean broken(ProgramCluster c, boolean trouble) throws Exception {
         c.start(3, 2);
-        String id = Cluster.id(1);
+        String id = ProgramCluster.id(1);
         AtomicBoolean left = new AtomicBoolean(trouble);
         c.store.disturbance = (process, call, perform) -> {
             if (!call.path().equals("/rows-tx")) {
                 return perform.perform();
             }
-            JsonNode tx = Store.JSON.readTree(call.body());
+            JsonNode tx = RowStore.JSON.readTree(call.body());
             boolean accepts = tx.path("writes").size() == 1
                     && tx.path("writes").get(0).path("table").asText().equals("jobs")
                     && tx.path("writes").get(0).path("key").asText().equals(id);
@@ -39,9 +39,9 @@
             late.start();
             return Answer.silent();
         };
-        c.call("e1", "POST", id, Cluster.job("work=20000", Cluster.step(1, 20_000)));
+        c.call("e1", "POST", id, ProgramCluster.job("work=20000", ProgramCluster.step(1, 20_000)));
         // The consumer has no use for the job any more.
-        Cluster.Reply cancelled = null;
+        ProgramCluster.Reply cancelled = null;
         for (int i = 0; i < 10; i++) {
             cancelled = c.call("e" + (2 + i % 2), "DELETE", id, "");
             if (cancelled.status() == 200 || cancelled.status() == 410) {
@@ -69,7 +69,7 @@
         return false;
     }
 
-    private static boolean hasRun(Cluster c, String id) {
+    private static boolean hasRun(ProgramCluster c, String id) {
         return c.workers.values().stream().anyMatch(w -> w.hasRun(id));
     }
 }
--- a/review/second/LatePace.java
+++ b/review/LatePace.java
@@ -6,13 +6,13 @@
 import second.MiniHttp.Answer;
 
 /** A runner leaves one order to pace what fills unanswered and carries it out late. */
-final class LatePace implements Main.Case {
+final class LatePace implements CaseMain.Case {
     private static final long LATE_MS = 10_000;
     private static final long INTERFERENCE_MS = 4_000;
     private static final long TARGET_MS = 100;
 
     @Override
-    public boolean broken(Cluster c, boolean trouble) throws Exception {
+    public boolean broken(ProgramCluster c, boolean trouble) throws Exception {
         c.start(2, 1);
         Worker w = c.workers.get("a1");
         AtomicBoolean left = new AtomicBoolean(trouble);
@@ -40,9 +40,9 @@
         String serving = "{\"count\":1,\"cpu\":8000,\"gpu\":4,\"long-running\":true,\"image\":\"s\","
                 + "\"target-ms\":" + TARGET_MS + "}";
         String filling = "{\"count\":1,\"cpu\":8000,\"gpu\":1,\"long-running\":true,\"image\":\"f\",\"fills\":true}";
-        c.submit("e1", Cluster.id(1), Cluster.job("serves=95", serving));
+        c.submit("e1", ProgramCluster.id(1), ProgramCluster.job("serves=95", serving));
         c.await(5_000, "the serving subtask is at work", () -> w.latencyMs(true) > 0);
-        c.submit("e1", Cluster.id(2), Cluster.job("disturbs=40", filling));
+        c.submit("e1", ProgramCluster.id(2), ProgramCluster.job("disturbs=40", filling));
         long startMs = c.record.nowMs();
         long overSinceMs = -1;
         while (c.record.nowMs() < startMs + 40_000) {
--- a/review/second/NotBegun.java
+++ b/review/NotBegun.java
@@ -10,7 +10,7 @@
 import second.MiniHttp.Answer;
 
 /** Jobs are placed on a worker whose node is cut off; none of them begins, and the count of waiting jobs lacks them. */
-final class NotBegun implements Main.Case {
+final class NotBegun implements CaseMain.Case {
     private static final int JOBS = 8;
     private static final int AGENTS = 6;
     private static final long CUT_MS = 5_500;
@@ -18,7 +18,7 @@
     private static final long VISIBLE_MS = 5_000;
 
     @Override
-    public boolean broken(Cluster c, boolean trouble) throws Exception {
+    public boolean broken(ProgramCluster c, boolean trouble) throws Exception {
         Set<String> cut = ConcurrentHashMap.newKeySet();
         c.store.disturbance = (process, call, perform) -> {
             Answer a = cut.contains(process) ? Answer.silent() : perform.perform();
@@ -28,8 +28,8 @@
         // All runners but one are full for the whole case.
         List<String> full = new ArrayList<>();
         for (int i = 100; i < 99 + AGENTS; i++) {
-            full.add(Cluster.id(i));
-            c.submit("e1", Cluster.id(i), Cluster.job("work=60000", Cluster.step(8, 60_000)));
+            full.add(ProgramCluster.id(i));
+            c.submit("e1", ProgramCluster.id(i), ProgramCluster.job("work=60000", ProgramCluster.step(8, 60_000)));
         }
         c.await(10_000, "the long jobs run", () -> full.stream().allMatch(j -> workerOf(c, j) != null));
         Set<String> busy = full.stream().map(j -> workerOf(c, j)).collect(Collectors.toSet());
@@ -45,10 +45,10 @@
         Thread.sleep(50);
         List<Thread> consumers = new ArrayList<>();
         for (int i = 0; i < JOBS; i++) {
-            String id = Cluster.id(i);
+            String id = ProgramCluster.id(i);
             String entry = "e" + (1 + i % 3);
             Thread t = new Thread(
-                    () -> c.call(entry, "POST", id, Cluster.job("work=60000", Cluster.step(1, 60_000))));
+                    () -> c.call(entry, "POST", id, ProgramCluster.job("work=60000", ProgramCluster.step(1, 60_000))));
             t.start();
             consumers.add(t);
         }
@@ -68,9 +68,9 @@
             for (String e : c.entries()) {
                 // Counted before and after the call; the smaller number is the consumers' bound.
                 long before = notBegun(c);
-                Cluster.Reply r = c.call(e, "GET", "", "");
+                ProgramCluster.Reply r = c.call(e, "GET", "", "");
                 long waiting = Math.min(before, notBegun(c));
-                int pending = r.status() == 200 ? Store.JSON.readTree(r.body()).path("pending").asInt() : JOBS;
+                int pending = r.status() == 200 ? RowStore.JSON.readTree(r.body()).path("pending").asInt() : JOBS;
                 if (pending * 2 < waiting) {
                     c.record.log(e + " gives " + pending + " as pending; " + waiting + " jobs accepted over "
                             + VISIBLE_MS + " ms ago have not begun");
@@ -85,15 +85,15 @@
         return broken;
     }
 
-    private static long notBegun(Cluster c) {
+    private static long notBegun(ProgramCluster c) {
         long n = 0;
         for (int i = 0; i < JOBS; i++) {
-            n += workerOf(c, Cluster.id(i)) == null ? 1 : 0;
+            n += workerOf(c, ProgramCluster.id(i)) == null ? 1 : 0;
         }
         return n;
     }
 
-    private static String workerOf(Cluster c, String id) {
+    private static String workerOf(ProgramCluster c, String id) {
         return c.workers.entrySet().stream()
                 .filter(w -> w.getValue().hasRun(id))
                 .map(Map.Entry::getKey)
--- a/review/second/OddHeartbeat.java
+++ b/review/OddHeartbeat.java
@@ -1,15 +1,15 @@
 package second;
 
 /** One heartbeat from another writer, of a service that no config names, comes for each runner. */
-final class OddHeartbeat implements Main.Case {
+final class OddHeartbeat implements CaseMain.Case {
     private static final long FINISH_MS = 14_000;
     private static final long HANG_MS = 3_000;
 
     @Override
-    public boolean broken(Cluster c, boolean trouble) throws Exception {
+    public boolean broken(ProgramCluster c, boolean trouble) throws Exception {
         c.start(3, 2);
-        c.submit("e1", Cluster.id(1), Cluster.job("work=500", Cluster.step(1, 500)));
-        c.await(10_000, "a job runs before", () -> ran(c, Cluster.id(1)));
+        c.submit("e1", ProgramCluster.id(1), ProgramCluster.job("work=500", ProgramCluster.step(1, 500)));
+        c.await(10_000, "a job runs before", () -> ran(c, ProgramCluster.id(1)));
         if (trouble) {
             for (Worker w : c.workers.values()) {
                 c.record.log("another writer: heartbeat of " + w.instance()
@@ -19,8 +19,8 @@
         }
         // Two heartbeats of the runners themselves.
         Thread.sleep(3_500);
-        String id = Cluster.id(2);
-        c.submit("e1", id, Cluster.job("work=500", Cluster.step(1, 500)));
+        String id = ProgramCluster.id(2);
+        c.submit("e1", id, ProgramCluster.job("work=500", ProgramCluster.step(1, 500)));
         c.record.log("the traffic ends");
         long endMs = c.record.nowMs();
         while (!ran(c, id)) {
@@ -38,7 +38,7 @@
         return false;
     }
 
-    private static boolean ran(Cluster c, String id) {
+    private static boolean ran(ProgramCluster c, String id) {
         return c.workers.values().stream().anyMatch(w -> w.hasRun(id));
     }
 }
--- a/review/second/Cluster.java
+++ b/review/ProgramCluster.java
@@ -25,7 +25,7 @@
  * The project's own programs as processes, started with the commands of the deploy file, each at a loopback address of
  * its own, among stand-ins of the store, the runners and the consumers.
  */
-final class Cluster implements AutoCloseable {
+final class ProgramCluster implements AutoCloseable {
     /** An answer to a consumer; status 0 if there was none. */
     record Reply(int status, String body) {}
 
@@ -34,7 +34,7 @@
     private static final String HOST = "nony24.example";
 
     final Recorder record;
-    final Store store = new Store();
+    final RowStore store = new RowStore();
     final Map<String, Worker> workers = new LinkedHashMap<>();
     /** The longest lease that the platform allows at the start, in milliseconds. */
     long maxHoldMs = 6_000;
@@ -48,7 +48,7 @@
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
-    Cluster(Recorder record) throws IOException {
+    ProgramCluster(Recorder record) throws IOException {
         this.record = record;
         directory = Files.createTempDirectory("review-2-");
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
--- a/review/second/Store.java
+++ b/review/RowStore.java
@@ -18,7 +18,7 @@
  *
  * <p>Each process reaches it at an address of its own, so that a case can disturb the calls of one. Thread-safe.
  */
-final class Store {
+final class RowStore {
     /** Decides what becomes of a call of a process; {@code perform} carries it out and returns the answer. */
     interface Disturbance {
         Answer handle(String process, Call call, Performer perform) throws Exception;
--- a/review/second/Worker.java
+++ b/review/Worker.java
@@ -30,7 +30,7 @@
 final class Worker {
     /** Decides what becomes of an order. */
     interface Disturbance {
-        Answer handle(Call call, JsonNode body, Store.Performer perform) throws Exception;
+        Answer handle(Call call, JsonNode body, RowStore.Performer perform) throws Exception;
     }
 
     private static final class Run {
@@ -121,7 +121,7 @@
 
     /** Sends a heartbeat with this runner's identifier; returns the status of the answer, 0 for none. */
     int announceAs(String service, long number) {
-        ObjectNode n = Store.JSON.createObjectNode();
+        ObjectNode n = RowStore.JSON.createObjectNode();
         n.put("service", service)
                 .put("address", "127.0.0.1:" + port())
                 .put("zone", "setubal")
@@ -201,7 +201,7 @@
     }
 
     private Answer handle(Call call) throws Exception {
-        JsonNode body = Store.JSON.readTree(call.body());
+        JsonNode body = RowStore.JSON.readTree(call.body());
         String expected = call.headers().get("x-pollenreach-expected-instance");
         if (expected != null && !expected.equals(instance)) {
             return Answer.of(421, "");
@@ -311,6 +311,6 @@
     }
 
     private ObjectNode stamp() {
-        return Store.JSON.createObjectNode().put("clock-ms", nowMs()).put("born", born);
+        return RowStore.JSON.createObjectNode().put("clock-ms", nowMs()).put("born", born);
     }
 }
