Decide from one value what a caller is told of a job that may be stored

Cause: JobIntake.write handed the doubt about earlier writes down as a parameter and lost it when it returned. A row that an unanswered write of the same call had stored looked like that of another call, and when the read of its owner failed, its failure was the answer: PLATFORM_UNAVAILABLE, nothing was stored.

Change: Submission in core holds what a call knows, and alone decides on its next step and its answer. It reads only after a write that may have taken effect or that found the row, so a failed read ends as WRITE_UNKNOWN. The row that was read is the one whose owner is compared, so the second read is gone.

Evidence: JobIntakeTest.doesNotRefuseAJobWhoseRowExistsBecauseItCannotBeRead failed before (PLATFORM_UNAVAILABLE in place of WRITE_UNKNOWN).

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -20,6 +19,7 @@
 import io.pollenreach.internal.batch.JobOwner;
 import io.pollenreach.internal.batch.JobPhase;
 import io.pollenreach.internal.batch.ProgressRow;
+import io.pollenreach.internal.intake.WriteOutcome;
 
 /**
  * Takes jobs into the store, cancels them and tells where they stand.
@@ -33,8 +33,6 @@
     /** How long a call goes on trying while the store fails, in milliseconds; callers come back elsewhere. */
     static final long PATIENCE_MS = 900;
 
-    private static final long RETRY_MS = 60;
-
     /** How long a store that left a write unanswered has to answer a read, in milliseconds. */
     private static final long PROBE_MS = 400;
 
@@ -76,25 +74,12 @@
             note("job-submitted", job.id(), startMs, e, "queue", job.queue());
             return CompletableFuture.failedFuture(e);
         }
-        Transaction tx = new Transaction().expect(Tables.JOBS, job.id(), 0).write(Tables.JOBS, job.id(), value);
+        SubmitCall call = new SubmitCall(store, this::commit, () -> hasTimeLeft(startMs), job, value);
         return answering(job.id())
-                .thenCompose(v -> write(tx, Tables.JOBS, job.id(), startMs, false))
-                .thenCompose(written -> written
-                        ? CompletableFuture.<Void>completedFuture(null)
-                        : read(startMs, () -> store.get(Tables.JOBS, job.id()))
-                                .thenAccept(row -> requireSameOwner(job, row)))
+                .thenCompose(v -> call.start())
                 .whenComplete((v, t) -> note("job-submitted", job.id(), startMs, t, "queue", job.queue()));
     }
 
-    private static void requireSameOwner(BatchJob job, Optional<StoredRow> row) {
-        Optional<JobOwner> owner =
-                row.flatMap(r -> RowCodec.fromRow(r, BatchJob.class)).map(BatchJob::owner);
-        if (owner.isEmpty() || !owner.get().admits(job.owner())) {
-            throw new PollenreachException(
-                    ResultCode.EXISTS, "id", "the id " + job.id() + " is in use; nothing was accepted");
-        }
-    }
-
     /**
      * Cancels a job.
      *
@@ -107,7 +92,7 @@
                 .write(Tables.CANCELS, id, RowCodec.toValue(clock.wallMs()));
         return read(startMs, () -> store.get(Tables.JOBS, id))
                 .thenCompose(row -> isAdmitted(row, caller)
-                        ? write(tx, Tables.CANCELS, id, startMs, false).thenApply(v -> true)
+                        ? write(tx, id, startMs, false).thenApply(v -> true)
                         : CompletableFuture.completedFuture(false))
                 .whenComplete((known, t) -> note("job-cancelled", id, startMs, t, "known", known));
     }
@@ -164,55 +149,55 @@
     }
 
     private <T> CompletableFuture<T> read(long startMs, Supplier<CompletableFuture<T>> call) {
-        return call.get().exceptionallyCompose(t -> {
-            if (clock.nowMs() - startMs > patienceMs()) {
-                return CompletableFuture.failedFuture(t);
+        return call.get()
+                .exceptionallyCompose(t -> hasTimeLeft(startMs)
+                        ? RetryPause.start().thenCompose(v -> read(startMs, call))
+                        : CompletableFuture.failedFuture(t));
+    }
+
+    private CompletableFuture<WriteOutcome> commit(Transaction tx) {
+        return store.commit(tx).handle((version, t) -> {
+            if (t == null) {
+                return WriteOutcome.APPLIED;
             }
-            return pause().thenCompose(v -> read(startMs, call));
+            ResultCode code = PollenreachException.of(t).code();
+            suspect |= code == ResultCode.WRITE_UNKNOWN;
+            return WriteOutcome.ofFailure(code);
         });
     }
 
-    /**
-     * Writes a row that must not exist yet.
-     *
-     * @return whether it was written; false if the row exists, by an earlier attempt of this call or by another call
-     */
-    private CompletableFuture<Boolean> write(
-            Transaction tx, String table, String key, long startMs, boolean outcomeUnknown) {
-        return store.commit(tx).thenApply(v -> true).exceptionallyCompose(t -> {
-            PollenreachException e = PollenreachException.of(t);
-            if (e.code() == ResultCode.CONFLICT) {
-                return CompletableFuture.completedFuture(false);
+    /** Writes the row of a cancelled job; does nothing if it exists. */
+    private CompletableFuture<Void> write(Transaction tx, String id, long startMs, boolean mayBeStored) {
+        return commit(tx).thenCompose(outcome -> {
+            if (outcome == WriteOutcome.APPLIED || outcome == WriteOutcome.CONDITION_FAILED) {
+                return CompletableFuture.completedFuture(null);
             }
-            suspect |= e.code() == ResultCode.WRITE_UNKNOWN;
-            boolean unsure = outcomeUnknown || e.code() != ResultCode.PLATFORM_UNAVAILABLE;
-            if (clock.nowMs() - startMs > patienceMs()) {
-                return unsure ? readBack(table, key) : CompletableFuture.failedFuture(e);
+            boolean unsure = mayBeStored || outcome == WriteOutcome.UNKNOWN;
+            if (hasTimeLeft(startMs)) {
+                return RetryPause.start().thenCompose(v -> write(tx, id, startMs, unsure));
             }
-            return pause().thenCompose(v -> write(tx, table, key, startMs, unsure));
+            return unsure
+                    ? readBack(id)
+                    : CompletableFuture.failedFuture(new PollenreachException(
+                            ResultCode.PLATFORM_UNAVAILABLE, "the store refused the cancellation of job " + id));
         });
     }
 
-    /** A process that is cut off refuses at once, since submitters find another one. */
-    private long patienceMs() {
-        return heard.getAsBoolean() ? PATIENCE_MS : 0;
+    /** Tells whether a call may go on trying; a process that is cut off refuses at once, as callers find another one. */
+    private boolean hasTimeLeft(long startMs) {
+        return clock.nowMs() - startMs <= (heard.getAsBoolean() ? PATIENCE_MS : 0);
     }
 
-    private CompletableFuture<Boolean> readBack(String table, String key) {
-        return store.get(table, key).handle((Optional<StoredRow> row, Throwable t) -> {
+    private CompletableFuture<Void> readBack(String id) {
+        return store.get(Tables.CANCELS, id).handle((row, t) -> {
             if (t == null && row.isPresent()) {
-                return false;
+                return null;
             }
             throw new PollenreachException(
-                    ResultCode.WRITE_UNKNOWN, null, "the store did not confirm the write of " + key, t);
+                    ResultCode.WRITE_UNKNOWN, null, "the store did not confirm the cancellation of job " + id, t);
         });
     }
 
-    private static CompletableFuture<Void> pause() {
-        long ms = ThreadLocalRandom.current().nextLong(RETRY_MS / 2, RETRY_MS * 2);
-        return CompletableFuture.runAsync(() -> {}, CompletableFuture.delayedExecutor(ms, TimeUnit.MILLISECONDS));
-    }
-
     private void note(String event, String id, long startMs, Throwable t, String key, Object value) {
         ResultCode code = t == null ? ResultCode.OK : PollenreachException.of(t).code();
         EVENTS.info(event, "job", id, key, value, "code", code.number(), "ms", clock.nowMs() - startMs);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
@@ -75,6 +75,25 @@
         assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.WRITE_UNKNOWN);
     }
 
+    // Guards against 503 for a job that runs: the answer to its write was lost, the next write found the row, and the
+    // store refused the read of its owner (review/7).
+    @Test
+    void doesNotRefuseAJobWhoseRowExistsBecauseItCannotBeRead() {
+        store.loseAnswers(1);
+        store.refuseReads(true);
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.WRITE_UNKNOWN);
+        store.refuseReads(false);
+        assertThat(store.get(Tables.JOBS, "a").join()).isPresent();
+    }
+
+    @Test
+    void acceptsAJobThatItReadsBackAfterALostAnswer() {
+        store.loseAnswers(1);
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.OK);
+    }
+
     @Test
     void saysUnavailableWhenNothingCanHaveBeenStored() {
         store.failCommits(ResultCode.PLATFORM_UNAVAILABLE);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
@@ -23,6 +23,8 @@
     private ResultCode failure;
     private boolean silent;
     private int failingLists;
+    private int answersToLose;
+    private boolean refusingReads;
     private CompletableFuture<Void> listsHeld = CompletableFuture.completedFuture(null);
     private final Set<String> unwatched = new HashSet<>();
     private final Map<String, List<CompletableFuture<Rows>>> waits = new HashMap<>();
@@ -32,6 +34,16 @@
         failure = code;
     }
 
+    /** Carries out so many commits without answering them. */
+    public synchronized void loseAnswers(int count) {
+        answersToLose = count;
+    }
+
+    /** Refuses reads of single rows, or answers them again. */
+    public synchronized void refuseReads(boolean on) {
+        refusingReads = on;
+    }
+
     /** Leaves reads unanswered, or answers them again. */
     public synchronized void setSilent(boolean on) {
         silent = on;
@@ -62,6 +74,9 @@
         if (silent) {
             return new CompletableFuture<>();
         }
+        if (refusingReads) {
+            return CompletableFuture.failedFuture(new PollenreachException(ResultCode.PLATFORM_UNAVAILABLE, "as told"));
+        }
         return CompletableFuture.completedFuture(Optional.ofNullable(rows.get(table + '/' + key)));
     }
 
@@ -121,6 +136,10 @@
         version++;
         tx.writes().forEach(w -> rows.put(w.table() + '/' + w.key(), new StoredRow(w.key(), version, w.value())));
         tx.removals().forEach(r -> rows.remove(r.table() + '/' + r.key()));
+        if (answersToLose > 0) {
+            answersToLose--;
+            return CompletableFuture.failedFuture(new PollenreachException(ResultCode.WRITE_UNKNOWN, "as told"));
+        }
         return CompletableFuture.completedFuture(version);
     }
 }
