Do not say that a declaration was refused when it cannot be read back

Operators saw, on the project's own interface: apply fails with 6001, "nothing was accepted", and the declaration is in force soon after. The same with the deletion of a declaration.

Change: a change that was written and cannot be read back fails with WRITE_UNKNOWN, since its revision is not known; a deletion that was confirmed succeeds.

Evidence: ConfigControllerTest.changeThatCannotBeReadBackIsNotSaidToBeRefused and deletionIsConfirmedThoughItCannotBeReadBack failed before (6001 both).

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigController.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/ConfigController.java
@@ -197,10 +197,17 @@
     }
 
     private CompletableFuture<ConfigRow> written(String key) {
-        return refresh().thenApply(v -> board.config()
-                .get()
-                .row(key)
-                .orElseThrow(() -> new PollenreachException(ResultCode.CONFLICT, key + " was deleted meanwhile")));
+        return refresh().handle((v, t) -> {
+            if (t != null) {
+                // Any other code would say that nothing was accepted.
+                throw new PollenreachException(
+                        ResultCode.WRITE_UNKNOWN, null, key + " was written and cannot be read back", t);
+            }
+            return board.config()
+                    .get()
+                    .row(key)
+                    .orElseThrow(() -> new PollenreachException(ResultCode.CONFLICT, key + " was deleted meanwhile"));
+        });
     }
 
     private CompletableFuture<ConfigRow> notWritten(
@@ -234,7 +241,10 @@
             }
             checkVersion(key, old, Optional.of(expected.orElse(old.get().version())));
             Write write = new Write(ConfigSnapshot.TABLE, key, old.get().version(), null);
-            return table.put(write).thenCompose(w -> refresh());
+            return table.put(write).thenCompose(w -> refresh().exceptionally(t -> {
+                EVENTS.warn("config-deleted-unread", "key", key, "error", String.valueOf(t.getMessage()));
+                return null;
+            }));
         });
     }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/ConfigControllerTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/ConfigControllerTest.java
@@ -68,6 +68,23 @@
                 .isEqualTo(1);
     }
 
+    // Guards against "nothing was accepted" for a change that was: the platform goes down before it can be read back.
+    @Test
+    void changeThatCannotBeReadBackIsNotSaidToBeRefused() {
+        table.goDownAfterWrite();
+        assertThatThrownBy(() ->
+                        here.putWorkspace(workspace("a", 4, 1), Optional.of(0L)).join())
+                .satisfies(t -> assertThat(JobStoreTest.codeOf(t)).isEqualTo(ResultCode.WRITE_UNKNOWN));
+    }
+
+    @Test
+    void deletionIsConfirmedThoughItCannotBeReadBack() {
+        here.putWorkspace(workspace("a", 4, 1), Optional.of(0L)).join();
+        table.goDownAfterWrite();
+
+        assertThat(here.delete(ConfigSnapshot.WORKSPACE + "a", Optional.of(1L))).isCompleted();
+    }
+
     @Test
     void olderListNeverReplacesNewerConfiguration() {
         here.putWorkspace(workspace("a", 4, 1), Optional.of(0L)).join();
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/entry/FakeTable.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/entry/FakeTable.java
@@ -23,11 +23,17 @@
     private boolean down;
     private int answersToLose;
     private int readsToFail;
+    private boolean downAfterWrite;
 
     synchronized void down(boolean isDown) {
         down = isDown;
     }
 
+    /** Goes down once the next write has been answered. */
+    synchronized void goDownAfterWrite() {
+        downAfterWrite = true;
+    }
+
     /** Lets the next writes take effect and their answers be lost. */
     synchronized void loseAnswers(int n) {
         answersToLose = n;
@@ -85,6 +91,7 @@
             }
         }
         List<Long> versions = writes.stream().map(this::apply).toList();
+        down = downAfterWrite;
         if (answersToLose > 0) {
             answersToLose--;
             return failed(ResultCode.WRITE_UNKNOWN);
