Count a job as waiting until a worker has started it

Cause: SchedulerState.place set the job's phase to RUNNING when its first task was placed. An order is not a start: the worker's agent may be cut off, the run refused or the worker lost, and nothing set the phase back.

Change: JobStarts sets the phase once a worker lists one of the job's runs, or the end of one that it did not refuse. The phase is stored then; a leader that stops before leaves the agent's report, from which the next one learns it. The counts are kept as phases change, instead of a pass over all jobs for each heartbeat.

--- a/core/src/main/java/io/pollenreach/internal/batch/EndKind.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/EndKind.java
@@ -15,5 +15,10 @@
     /** The other members of its gang did not start in time. */
     ALONE,
     /** The worker refused the run: it has no such run and will never start it. */
-    REFUSED
+    REFUSED;
+
+    /** Tells whether a run that ended so had been started by its worker. */
+    public boolean provesStart() {
+        return this != REFUSED;
+    }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/JobPhase.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobPhase.java
@@ -2,9 +2,9 @@
 
 /** The phase of a job made of steps. Immutable. */
 public enum JobPhase {
-    /** Accepted; no task has started yet. */
+    /** Accepted; no worker has shown that it started a task. */
     QUEUED,
-    /** At least one task has been placed. */
+    /** A worker has started at least one task. */
     RUNNING,
     /** Every task is done. */
     COMPLETED,
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -19,6 +19,13 @@
  * thread-safe: confined to the scheduler's thread.
  */
 public final class JobProgress {
+    /** Is told of each change of a job's phase. */
+    @FunctionalInterface
+    interface PhaseListener {
+        /** Handles a change to the job's present phase from the one before. */
+        void phaseChanged(JobProgress job, JobPhase before);
+    }
+
     private final BatchJob job;
     private final long sequence;
     private final long acceptedMs;
@@ -29,6 +36,7 @@
 
     private int firstMissingOccurrence;
     private JobPhase phase = JobPhase.QUEUED;
+    private PhaseListener phaseListener = (job, before) -> {};
     private long endedMs;
     private String immediateFailureWorker = "";
 
@@ -140,6 +148,17 @@
         return phase;
     }
 
+    /** Sets the listener that is told of all later changes of the phase. */
+    void setPhaseListener(PhaseListener listener) {
+        phaseListener = listener;
+    }
+
+    private void setPhase(JobPhase next) {
+        JobPhase before = phase;
+        phase = next;
+        phaseListener.phaseChanged(this, before);
+    }
+
     long sequence() {
         return sequence;
     }
@@ -236,10 +255,13 @@
         }
     }
 
-    void markStarted() {
-        if (phase == JobPhase.QUEUED) {
-            phase = JobPhase.RUNNING;
+    /** Records that a worker started a task; tells whether it is the first of the job. */
+    boolean markStarted() {
+        if (phase != JobPhase.QUEUED) {
+            return false;
         }
+        setPhase(JobPhase.RUNNING);
+        return true;
     }
 
     void completeWhenDone(long nowMs) {
@@ -252,8 +274,8 @@
 
     void end(JobPhase endPhase, long nowMs) {
         if (!phase.ended()) {
-            phase = endPhase;
             endedMs = nowMs;
+            setPhase(endPhase);
         }
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobTable.java
@@ -28,6 +28,7 @@
 
     private final Map<String, JobProgress> byId = new LinkedHashMap<>();
     private final Map<String, Forgotten> forgotten = new HashMap<>();
+    private final WaitingCounts waiting = new WaitingCounts();
 
     // Jobs whose rows were written in one transaction share their sequence.
     private final SortedSet<JobProgress> active = new TreeSet<>(Comparator.comparingLong(JobProgress::sequence)
@@ -36,6 +37,7 @@
     void add(JobProgress job) {
         byId.put(job.job().id(), job);
         active.add(job);
+        waiting.add(job);
     }
 
     /** Returns a job; null for one that is not known. */
@@ -62,13 +64,7 @@
 
     /** Returns the number of accepted jobs that have not started, by queue; recurring jobs are not counted. */
     Map<String, Integer> waitingByQueue() {
-        Map<String, Integer> count = new HashMap<>();
-        for (JobProgress job : active()) {
-            if (job.phase() == JobPhase.QUEUED && job.job().recurrence() == null) {
-                count.merge(job.job().queue(), 1, Integer::sum);
-            }
-        }
-        return count;
+        return waiting.byQueue();
     }
 
     /** Returns the jobs that ended before a time and whose id fulfils a condition. */
--- a/core/src/main/java/io/pollenreach/internal/batch/RunningTask.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunningTask.java
@@ -17,4 +17,9 @@
         RequiredField.of(run, "run");
         checkpoint = Checkpoint.orNone(checkpoint);
     }
+
+    /** Tells whether the worker has shown that it started the run. */
+    boolean isConfirmed() {
+        return percent != UNCONFIRMED;
+    }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -34,6 +34,7 @@
     private final AdviceCache advice = new AdviceCache();
     private final RunReleases releases;
     private final WorkerRecovery recovery;
+    private final JobStarts starts;
     private Map<String, Integer> guarantees = Map.of();
     /** Whether something has changed since the last pass that may let it decide otherwise. */
     private boolean placementChanged = true;
@@ -45,6 +46,7 @@
         this.log = log;
         releases = new RunReleases(this, log);
         recovery = new WorkerRecovery(this, releases, log);
+        starts = new JobStarts(this, log);
     }
 
     /** Sets the number of accelerators that each workspace is guaranteed for its most urgent jobs. */
@@ -159,6 +161,7 @@
     void applyReport(WorkerAllocations w, WorkerReport report, long version, LossReason lossReason, long nowMs) {
         long previousAgeMs = nowMs - w.reportedMs();
         w.report().active().forEach(this::recordCheckpoint);
+        starts.recordActive(report, nowMs);
         w.update(report, version, nowMs);
         boolean rebuildsOrders = !w.ordersKnown();
         if (rebuildsOrders && !recovery.takeOrdersFrom(w, report, nowMs)) {
@@ -241,6 +244,7 @@
         if (w.remove(end.run()) || end.kind() != EndKind.REFUSED) {
             changedWorkers.add(w.name());
         }
+        starts.recordEnd(w.name(), end, nowMs);
         TaskRun run = end.run();
         JobProgress job = jobs.get(run.task().job());
         TaskProgress t = job == null ? null : job.find(run.task()).orElse(null);
@@ -408,7 +412,6 @@
                     "failures",
                     t.failures());
         }
-        job.markStarted();
         changedJobs.add(job.job().id());
     }
 
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -101,6 +101,13 @@
         report(with(r, r.incarnation(), true, List.of(active), r.ends(), List.of()));
     }
 
+    /** Reports a run as ordered whose start the worker has not confirmed. */
+    void starting(String worker, String task, int run) {
+        WorkerReport r = reports.get(worker);
+        RunningTask active = new RunningTask(new TaskRun(TaskId.of(task), run), "", RunningTask.UNCONFIRMED);
+        report(with(r, r.incarnation(), true, List.of(active), r.ends(), List.of()));
+    }
+
     /** Reports a long-running task as fully running, in addition to those reported before. */
     void fullyRunning(String worker, String task, int run) {
         WorkerReport r = reports.get(worker);
