Do not tell a count of waiting jobs that nobody knows

An entry that had heard no heartbeat answered 0 too, and one that was cut off from the store went on telling the last count, however old.

Cause: "not known" was an empty map. A new leader sends heartbeats while it loads, and they carried the counts of its empty state.

Change: those heartbeats carry no counts.

--- a/core/src/main/java/io/pollenreach/ResultCode.java
+++ b/core/src/main/java/io/pollenreach/ResultCode.java
@@ -47,6 +47,7 @@
     NOT_READY(6003, 503, "This process has not yet learned a configuration."),
     DRAINING(6004, 503, "This process is shutting down."),
     HISTORY_GONE(6005, 503, "The platform's store no longer has the changes after that version."),
+    COUNT_UNKNOWN(6006, 503, "The number of waiting jobs is not known at present."),
     PEER_UNREACHABLE(7001, 502, "Another process of the system does not answer."),
     PEER_TIMEOUT(7002, 504, "Another process of the system answered too late."),
     BAD_FRAME(7003, 400, "A frame is cut, too long or not readable."),
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/batch/BatchEntry.java
@@ -1,5 +1,6 @@
 package io.pollenreach.daemon.internal.batch;
 
+import java.util.OptionalInt;
 import java.util.function.Function;
 
 import io.micrometer.core.instrument.Gauge;
@@ -131,8 +132,8 @@
         return intake;
     }
 
-    /** Returns how many accepted jobs of a queue have not started, as last published by the leader. */
-    public int waitingJobs(String queue) {
+    /** Returns how many accepted jobs of a queue have not started; empty if the leader has not published it lately. */
+    public OptionalInt waitingJobs(String queue) {
         return leader.waitingJobs(queue);
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LeaderRows.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LeaderRows.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.scheduler;
 
 import java.util.Map;
+import java.util.Optional;
 
 /** The rows of the leader table. Stateless. */
 final class LeaderRows {
@@ -22,11 +23,11 @@
      *
      * @param holder the leader
      * @param count increases with each heartbeat
-     * @param waitingByQueue the number of jobs of each queue that have not started
+     * @param waitingByQueue the number of jobs of each queue that have not started; null while the leader loads its state
      */
     record Heartbeat(String holder, long count, Map<String, Integer> waitingByQueue) {
-        Heartbeat {
-            waitingByQueue = waitingByQueue == null ? Map.of() : Map.copyOf(waitingByQueue);
+        Optional<Map<String, Integer>> counts() {
+            return Optional.ofNullable(waitingByQueue);
         }
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LeaderWatch.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/LeaderWatch.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.scheduler;
 
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentSkipListMap;
 
 import io.pollenreach.Clock;
@@ -10,6 +11,7 @@
 import io.pollenreach.daemon.internal.store.StoredRow;
 import io.pollenreach.daemon.internal.store.TableWatch;
 import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.internal.intake.PublishedCounts;
 
 /**
  * Follows the leader table: which entry leads, and the queue lengths that it publishes.
@@ -30,7 +32,7 @@
     private volatile long termVersion;
     private volatile long changedMs;
     private volatile boolean loaded;
-    private volatile Map<String, Integer> waitingByQueue = Map.of();
+    private final PublishedCounts counts = new PublishedCounts();
 
     /** Creates a watch that is not started yet. */
     public LeaderWatch(StateStore store, Clock clock) {
@@ -55,6 +57,16 @@
     public void changes(Rows rows) {
         recordVersion(rows.version());
         rows.rows().forEach(this::apply);
+        // The heartbeat in a snapshot, or in the first changes after a failure, may have been written long ago.
+        if (watch.healthyFor(0)) {
+            rows.rows().stream().filter(r -> r.key().equals(Tables.BEAT)).forEach(this::takeCounts);
+        }
+    }
+
+    private void takeCounts(StoredRow row) {
+        RowCodec.fromRow(row, LeaderRows.Heartbeat.class)
+                .flatMap(LeaderRows.Heartbeat::counts)
+                .ifPresent(c -> counts.publish(c, clock.nowMs()));
     }
 
     private void recordVersion(long version) {
@@ -86,14 +98,12 @@
             holder = RowCodec.fromRow(row, LeaderRows.Term.class)
                     .map(LeaderRows.Term::holder)
                     .orElse("");
-        } else if (row.key().equals(Tables.BEAT)) {
-            RowCodec.fromRow(row, LeaderRows.Heartbeat.class).ifPresent(b -> waitingByQueue = b.waitingByQueue());
         }
     }
 
-    /** Returns how many accepted jobs of a queue have not started, as last published by the leader. */
-    public int waitingJobs(String queue) {
-        return waitingByQueue.getOrDefault(queue, 0);
+    /** Returns how many accepted jobs of a queue have not started; empty if the leader has not published it lately. */
+    public OptionalInt waitingJobs(String queue) {
+        return counts.waiting(queue, clock.nowMs());
     }
 
     /** Tells whether the leader table has been read and the store responds. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -80,6 +80,9 @@
     private final Set<String> rejectedJobs = new HashSet<>();
 
     private TableWatch workersWatch;
+    /** Whether the state is whole; before, its counts mean nothing. */
+    private boolean loaded;
+
     private long heartbeatNumber;
     private long lastHeartbeatMs;
     private long lastPassMs;
@@ -130,6 +133,7 @@
                 orders.stream().flatMap(o -> o.join().rows().stream()).toList();
         loadWorkers(workers.join(), orderRows, nowMs);
         state.finishRestore(nowMs);
+        loaded = true;
         follow(Tables.JOBS, jobs.join().version(), this::acceptJob);
         follow(Tables.CANCELS, cancels.join().version(), r -> state.cancel(r.key(), clock.nowMs()));
         workersWatch = follow(Tables.WORKERS, workers.join().version(), this::acceptReport);
@@ -183,7 +187,7 @@
     }
 
     private LeaderRows.Heartbeat nextHeartbeat() {
-        return new LeaderRows.Heartbeat(self, ++heartbeatNumber, state.waitingByQueue());
+        return new LeaderRows.Heartbeat(self, ++heartbeatNumber, loaded ? state.waitingByQueue() : null);
     }
 
     private void loadJobs(Rows jobs, Rows progress, long nowMs) {
