Keep a job from being stored once its cancelling was confirmed

Cause: the store may carry out an unanswered write seconds later if its condition still holds. The cancellation found no row and recorded nothing, so the condition, that there is no such job, still held. One read cannot show that a job is absent while a write of it is under way.

Change: a job is written on one more condition, the version of withdrawn/ID that its call has seen. A cancellation that finds no job of its caller writes that row and reads once more before it says 410. The row names its callers, so that it keeps out nobody else's job; each workspace has a budget for such rows, and the leader removes them after a minute or two. A submission after its owner's cancellation is refused with 503 without Retry-After.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedStore.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedStore.java
@@ -67,6 +67,7 @@
     private boolean refusing;
     private int answersToLose;
     private long lateMs;
+    private String tableToLose = "";
 
     /** Starts a store on a free port of an address. */
     public EmulatedStore(String ip) {
@@ -89,6 +90,12 @@
         lateMs = carriedOutAfterMs;
     }
 
+    /** Loses the answer of the next write to a table, which is carried out after a delay in milliseconds. */
+    public synchronized void loseAnswerOf(String table, long carriedOutAfterMs) {
+        tableToLose = table;
+        lateMs = carriedOutAfterMs;
+    }
+
     /** Forgets the history of changes up to now. */
     public synchronized void forgetHistory() {
         history.clear();
@@ -126,8 +133,13 @@
     }
 
     private CompletableFuture<HttpServerResponse> transact(HttpServerRequest call) {
-        if (answersToLose > 0) {
-            answersToLose--;
+        boolean toTable =
+                parse(call.body()).path("writes").path(0).path("table").asText().equals(tableToLose);
+        if (toTable) {
+            tableToLose = "";
+        }
+        if (toTable || answersToLose > 0) {
+            answersToLose -= toTable ? 0 : 1;
             timers.schedule(() -> apply(call), lateMs, TimeUnit.MILLISECONDS);
             return after(SILENCE_MS, HttpServerResponse.of(UNAVAILABLE));
         }
--- a/core/src/main/java/io/pollenreach/ResultCode.java
+++ b/core/src/main/java/io/pollenreach/ResultCode.java
@@ -39,6 +39,8 @@
     CANCELLED(4006, 200, "The job was cancelled."),
     LOST_NOT_RESTARTABLE(4007, 200, "The job lost a worker and may not be run again."),
     ALREADY_ENDED(4008, 409, "The job has already ended."),
+    ALREADY_CANCELLED(4009, 409, "The job was cancelled before it was accepted; it never runs."),
+    TOO_MANY_CANCELS(4010, 429, "The workspace cancelled too many ids that have no job; nothing was cancelled."),
     CONFLICT(5001, 409, "The resource was changed by someone else; read it and try again."),
     EXISTS(5002, 409, "The resource exists already with another content."),
     IN_USE(5003, 409, "The resource is still in use."),
--- a/core/src/main/java/io/pollenreach/internal/intake/package-info.java
+++ b/core/src/main/java/io/pollenreach/internal/intake/package-info.java
@@ -1,2 +1,2 @@
-/** What a call that hands in a job may tell its caller, decided without a network. */
+/** What calls that hand in, cancel and count jobs may tell their callers, decided without a network. */
 package io.pollenreach.internal.intake;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/JobIntake.java
@@ -19,6 +19,7 @@
 import io.pollenreach.internal.batch.JobOwner;
 import io.pollenreach.internal.batch.JobPhase;
 import io.pollenreach.internal.batch.ProgressRow;
+import io.pollenreach.internal.intake.WithdrawalBudget;
 import io.pollenreach.internal.intake.WriteOutcome;
 
 /**
@@ -41,6 +42,7 @@
     private final StateStore store;
     private final BooleanSupplier heard;
     private final Clock clock;
+    private final WithdrawalBudget withdrawals = new WithdrawalBudget();
     private volatile boolean suspect;
 
     /**
@@ -60,8 +62,9 @@
      * Accepts a job.
      *
      * @return completes once the job is stored; fails with {@code PLATFORM_UNAVAILABLE} when surely nothing was stored,
-     *     with {@code WRITE_UNKNOWN} when it may have been, with {@code TOO_LARGE} when no row could hold the job, and
-     *     with {@code EXISTS} when another workspace uses the id
+     *     with {@code WRITE_UNKNOWN} when it may have been, with {@code TOO_LARGE} when no row could hold the job, with
+     *     {@code EXISTS} when another workspace uses the id, and with {@code ALREADY_CANCELLED} when the workspace
+     *     cancelled the id before
      */
     public CompletableFuture<Void> submit(BatchJob job) {
         long startMs = clock.nowMs();
@@ -77,24 +80,87 @@
         SubmitCall call = new SubmitCall(store, this::commit, () -> hasTimeLeft(startMs), job, value);
         return answering(job.id())
                 .thenCompose(v -> call.start())
+                .thenAccept(code -> requireAccepted(code, job.id()))
                 .whenComplete((v, t) -> note("job-submitted", job.id(), startMs, t, "queue", job.queue()));
     }
 
+    private static void requireAccepted(ResultCode code, String id) {
+        switch (code) {
+            case OK:
+                return;
+            case EXISTS:
+                throw new PollenreachException(code, "id", "the id " + id + " is in use; nothing was accepted");
+            case ALREADY_CANCELLED:
+                throw new PollenreachException(code, "id", "the id " + id + " was cancelled; nothing was accepted");
+            case PLATFORM_UNAVAILABLE:
+                throw new PollenreachException(code, "the store refused the row of job " + id);
+            default:
+                throw new PollenreachException(code, "the store did not confirm the write of job " + id);
+        }
+    }
+
     /**
-     * Cancels a job.
+     * Cancels a job, and keeps one from being stored that is not stored yet.
      *
-     * @return whether the caller has such a job; fails as {@link #submit} does
+     * @return whether the caller has such a job; fails with {@code PLATFORM_UNAVAILABLE} when surely nothing was changed,
+     *     with {@code WRITE_UNKNOWN} when the job may be cancelled, and with {@code TOO_MANY_CANCELS} when the workspace
+     *     has cancelled too many ids without a job
      */
     public CompletableFuture<Boolean> cancel(String id, JobOwner caller) {
         long startMs = clock.nowMs();
+        return hasJob(id, caller, startMs)
+                .thenCompose(known -> known ? cancelStored(id, startMs) : withdraw(id, caller, startMs))
+                .whenComplete((known, t) -> note("job-cancelled", id, startMs, t, "known", known));
+    }
+
+    private CompletableFuture<Boolean> hasJob(String id, JobOwner caller, long startMs) {
+        return read(startMs, () -> store.get(Tables.JOBS, id)).thenApply(row -> isAdmitted(row, caller));
+    }
+
+    private CompletableFuture<Boolean> cancelStored(String id, long startMs) {
         Transaction tx = new Transaction()
                 .expect(Tables.CANCELS, id, 0)
                 .write(Tables.CANCELS, id, RowCodec.toValue(clock.wallMs()));
-        return read(startMs, () -> store.get(Tables.JOBS, id))
-                .thenCompose(row -> isAdmitted(row, caller)
-                        ? write(tx, id, startMs, false).thenApply(v -> true)
-                        : CompletableFuture.completedFuture(false))
-                .whenComplete((known, t) -> note("job-cancelled", id, startMs, t, "known", known));
+        // The one condition is that there is no such row, so a write that fails it finds the job cancelled.
+        ConditionalWrite write = new ConditionalWrite(
+                t -> commit(t).thenApply(o -> o == WriteOutcome.CONDITION_FAILED ? WriteOutcome.APPLIED : o),
+                () -> hasTimeLeft(startMs),
+                () -> tx,
+                () -> store.get(Tables.CANCELS, id).thenApply(row -> row.map(r -> ResultCode.OK)));
+        return write.start().thenApply(code -> requireCancelled(code, id)).thenApply(v -> true);
+    }
+
+    /**
+     * Confirms that a job is absent: keeps its write from taking effect later, and reads once more, since it may have taken
+     * effect just before.
+     */
+    private CompletableFuture<Boolean> withdraw(String id, JobOwner caller, long startMs) {
+        if (!withdrawals.tryTake(caller, startMs)) {
+            return CompletableFuture.failedFuture(new PollenreachException(
+                    ResultCode.TOO_MANY_CANCELS,
+                    "the workspace cancelled more than " + WithdrawalBudget.BURST + " ids that have no job"));
+        }
+        return new WithdrawCall(store, this::commit, () -> hasTimeLeft(startMs), id, caller)
+                .start()
+                .thenApply(code -> requireCancelled(code, id))
+                .thenCompose(v -> confirmAbsent(id, caller, startMs));
+    }
+
+    private CompletableFuture<Boolean> confirmAbsent(String id, JobOwner caller, long startMs) {
+        return hasJob(id, caller, startMs)
+                .thenCompose(known -> known ? cancelStored(id, startMs) : CompletableFuture.completedFuture(false))
+                .exceptionallyCompose(t -> CompletableFuture.failedFuture(new PollenreachException(
+                        ResultCode.WRITE_UNKNOWN,
+                        null,
+                        "the id " + id + " was withdrawn, but whether it has a job was not read",
+                        t)));
+    }
+
+    private static Void requireCancelled(ResultCode code, String id) {
+        if (code != ResultCode.OK) {
+            throw new PollenreachException(code, "the cancellation of job " + id + " was not stored");
+        }
+        return null;
     }
 
     private static boolean isAdmitted(Optional<StoredRow> job, JobOwner caller) {
@@ -166,38 +232,11 @@
         });
     }
 
-    /** Writes the row of a cancelled job; does nothing if it exists. */
-    private CompletableFuture<Void> write(Transaction tx, String id, long startMs, boolean mayBeStored) {
-        return commit(tx).thenCompose(outcome -> {
-            if (outcome == WriteOutcome.APPLIED || outcome == WriteOutcome.CONDITION_FAILED) {
-                return CompletableFuture.completedFuture(null);
-            }
-            boolean unsure = mayBeStored || outcome == WriteOutcome.UNKNOWN;
-            if (hasTimeLeft(startMs)) {
-                return RetryPause.start().thenCompose(v -> write(tx, id, startMs, unsure));
-            }
-            return unsure
-                    ? readBack(id)
-                    : CompletableFuture.failedFuture(new PollenreachException(
-                            ResultCode.PLATFORM_UNAVAILABLE, "the store refused the cancellation of job " + id));
-        });
-    }
-
     /** Tells whether a call may go on trying; a process that is cut off refuses at once, as callers find another one. */
     private boolean hasTimeLeft(long startMs) {
         return clock.nowMs() - startMs <= (heard.getAsBoolean() ? PATIENCE_MS : 0);
     }
 
-    private CompletableFuture<Void> readBack(String id) {
-        return store.get(Tables.CANCELS, id).handle((row, t) -> {
-            if (t == null && row.isPresent()) {
-                return null;
-            }
-            throw new PollenreachException(
-                    ResultCode.WRITE_UNKNOWN, null, "the store did not confirm the cancellation of job " + id, t);
-        });
-    }
-
     private void note(String event, String id, long startMs, Throwable t, String key, Object value) {
         ResultCode code = t == null ? ResultCode.OK : PollenreachException.of(t).code();
         EVENTS.info(event, "job", id, key, value, "code", code.number(), "ms", clock.nowMs() - startMs);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/SubmitCall.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/SubmitCall.java
@@ -1,10 +1,10 @@
 package io.pollenreach.daemon.internal.intake;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
-import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.store.RowCodec;
 import io.pollenreach.daemon.internal.store.StateStore;
@@ -12,21 +12,22 @@
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.daemon.internal.store.Transaction;
 import io.pollenreach.internal.batch.BatchJob;
-import io.pollenreach.internal.intake.Submission;
+import io.pollenreach.internal.intake.SubmissionRows;
+import io.pollenreach.internal.intake.Withdrawal;
 import io.pollenreach.internal.intake.WriteOutcome;
 
 /**
- * One call that hands in a job: carries out the steps of a {@link Submission}.
+ * Writes the row of a job, unless its id is in use or its owner has cancelled it.
  *
  * <p>Used once. Its steps follow each other, so that no two threads use it at the same time.
  */
 final class SubmitCall {
     private final StateStore store;
-    private final Function<Transaction, CompletableFuture<WriteOutcome>> writer;
-    private final BooleanSupplier timeLeft;
     private final BatchJob job;
     private final byte[] value;
-    private final Submission submission;
+    private final ConditionalWrite write;
+    /** The version of the withdrawal that was read last; 0 if there was none. */
+    private long withdrawalVersion;
 
     /**
      * Creates a call that has sent nothing yet.
@@ -44,60 +45,46 @@
             BatchJob job,
             byte[] value) {
         this.store = store;
-        this.writer = writer;
-        this.timeLeft = timeLeft;
         this.job = job;
         this.value = value;
-        submission = new Submission(job.owner());
+        write = new ConditionalWrite(writer, timeLeft, this::transaction, this::read);
     }
 
-    /** Makes the call; completes once the job is stored, and fails with the answer of the {@link Submission} otherwise. */
-    CompletableFuture<Void> start() {
-        return proceed(Submission.Step.WRITE);
+    /** Makes the call; returns its answer. */
+    CompletableFuture<ResultCode> start() {
+        return write.start();
     }
 
-    private CompletableFuture<Void> proceed(Submission.Step step) {
-        switch (step) {
-            case WRITE:
-                Transaction tx =
-                        new Transaction().expect(Tables.JOBS, job.id(), 0).write(Tables.JOBS, job.id(), value);
-                return writer.apply(tx)
-                        .thenApply(outcome -> submission.recordWrite(outcome, timeLeft.getAsBoolean()))
-                        .thenCompose(next -> next == Submission.Step.WRITE ? proceedAfterPause(next) : proceed(next));
-            case READ:
-                return store.get(Tables.JOBS, job.id())
-                        .handle((row, t) -> t == null
-                                ? submission.recordRead(row.map(SubmitCall::stored), timeLeft.getAsBoolean())
-                                : submission.recordFailedRead(timeLeft.getAsBoolean()))
-                        .thenCompose(next -> next == Submission.Step.ANSWER ? proceed(next) : proceedAfterPause(next));
-            default:
-                return answer(submission.answer());
-        }
+    private Transaction transaction() {
+        return new Transaction()
+                .expect(Tables.JOBS, job.id(), 0)
+                .expect(Tables.WITHDRAWN, job.id(), withdrawalVersion)
+                .write(Tables.JOBS, job.id(), value);
     }
 
-    private CompletableFuture<Void> proceedAfterPause(Submission.Step step) {
-        return RetryPause.start().thenCompose(v -> proceed(step));
+    private CompletableFuture<Optional<ResultCode>> read() {
+        return readJob().thenCompose(job -> job.isPresent() ? verdict(Withdrawal.NONE, job) : readWithdrawal());
     }
 
-    private static Submission.StoredJob stored(StoredRow row) {
-        return new Submission.StoredJob(RowCodec.fromRow(row, BatchJob.class).map(BatchJob::owner));
+    private CompletableFuture<Optional<ResultCode>> readWithdrawal() {
+        return store.get(Tables.WITHDRAWN, job.id()).thenCompose(row -> {
+            withdrawalVersion = row.map(StoredRow::version).orElse(0L);
+            Withdrawal withdrawal = WithdrawCall.withdrawal(row);
+            return readJob().thenCompose(found -> verdict(withdrawal, found));
+        });
     }
 
-    private CompletableFuture<Void> answer(ResultCode code) {
-        switch (code) {
-            case OK:
-                return CompletableFuture.completedFuture(null);
-            case EXISTS:
-                return failed(code, "the id " + job.id() + " is in use; nothing was accepted");
-            case PLATFORM_UNAVAILABLE:
-                return failed(code, "the store refused the row of job " + job.id());
-            default:
-                return failed(code, "the store did not confirm the write of job " + job.id());
-        }
+    private CompletableFuture<Optional<SubmissionRows.StoredJob>> readJob() {
+        return store.get(Tables.JOBS, job.id()).thenApply(row -> row.map(SubmitCall::stored));
     }
 
-    private static CompletableFuture<Void> failed(ResultCode code, String detail) {
-        return CompletableFuture.failedFuture(
-                new PollenreachException(code, code == ResultCode.EXISTS ? "id" : null, detail));
+    private CompletableFuture<Optional<ResultCode>> verdict(
+            Withdrawal withdrawal, Optional<SubmissionRows.StoredJob> found) {
+        return CompletableFuture.completedFuture(new SubmissionRows(withdrawal, found).verdictFor(job.owner()));
+    }
+
+    private static SubmissionRows.StoredJob stored(StoredRow row) {
+        return new SubmissionRows.StoredJob(
+                RowCodec.fromRow(row, BatchJob.class).map(BatchJob::owner));
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -107,7 +107,7 @@
         clock = context.clock();
         state = new SchedulerState(log);
         lostWorkerDetector = new LostWorkerDetector(state.workers(), context.leaseMs());
-        rowRemover = new RowRemover(store, this::newTermTransaction);
+        rowRemover = new RowRemover(store, this::newTermTransaction, clock.nowMs());
         lastExpiryMs = clock.nowMs();
     }
 
@@ -461,6 +461,7 @@
                 rethrowUnlessUnavailable(PollenreachException.of(e));
             }
         }
+        rowRemover.expireWithdrawals(nowMs, inbox::add);
     }
 
     /** Returns the store's version of an agent's newest report. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/Tables.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/Tables.java
@@ -1,6 +1,7 @@
 package io.pollenreach.daemon.internal.store;
 
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 /** The tables of the store that the scheduler, the entries and the agents share. Stateless. */
@@ -14,6 +15,9 @@
     /** A row a cancelled job, written by entries. */
     public static final String CANCELS = "cancels";
 
+    /** A row an id that was cancelled without having a job, written by entries; the leader removes old ones. */
+    public static final String WITHDRAWN = "withdrawn";
+
     /** A row a worker, written by its agent. */
     public static final String WORKERS = "workers";
 
@@ -37,6 +41,9 @@
 
     private static final String ONLY = "";
 
+    // The rows of one id share a partition, since they are written under conditions on each other.
+    private static final Set<String> SPREAD = Set.of(JOBS, CANCELS, WITHDRAWN, WORKERS);
+
     private Tables() {}
 
     /** Returns the partition of a row; the scheduler's own tables share one, since it writes them together. */
@@ -52,7 +59,7 @@
     }
 
     private static boolean isSpread(String table) {
-        return table.equals(JOBS) || table.equals(CANCELS) || table.equals(WORKERS);
+        return SPREAD.contains(table);
     }
 
     private static String partition(int number) {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/intake/JobIntakeTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import io.pollenreach.Clock;
+import io.pollenreach.ManualClock;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.store.MemoryStore;
@@ -17,6 +18,7 @@
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.Resources;
 import io.pollenreach.internal.batch.StepSpec;
+import io.pollenreach.internal.intake.WithdrawalBudget;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -123,6 +125,85 @@
         assertThat(store.get(Tables.JOBS, "a").join()).isEmpty();
     }
 
+    // Guards against a job that starts after its cancelling was confirmed: the store carried out the job's write after
+    // the cancellation had found no job (review/8).
+    @Test
+    void keepsAJobFromBeingStoredOnceItsCancellingWasConfirmed() {
+        store.holdCommits(Integer.MAX_VALUE);
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.WRITE_UNKNOWN);
+        store.holdCommits(0);
+
+        assertThat(intake.cancel("a", TEAM).join()).isFalse();
+
+        assertThat(store.carryOutHeldCommits()).isZero();
+        assertThat(store.get(Tables.JOBS, "a").join()).isEmpty();
+    }
+
+    @Test
+    void refusesAJobThatItsOwnerCancelledBefore() {
+        intake.cancel("a", TEAM).join();
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.ALREADY_CANCELLED);
+        assertThat(intake.phase("a", TEAM).join()).isEmpty();
+    }
+
+    // Guards against a workspace that keeps out another one's job by cancelling its id.
+    @Test
+    void acceptsAJobWhoseIdAnotherWorkspaceCancelled() {
+        intake.cancel("a", OTHERS).join();
+
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.OK);
+        assertThat(intake.phase("a", TEAM).join()).contains(JobPhase.QUEUED);
+    }
+
+    @Test
+    void keepsTheCancellationsOfTwoWorkspacesApart() {
+        store.holdCommits(Integer.MAX_VALUE);
+        failure(intake.submit(job("a")));
+        store.holdCommits(0);
+
+        assertThat(intake.cancel("a", OTHERS).join()).isFalse();
+        assertThat(intake.cancel("a", TEAM).join()).isFalse();
+        assertThat(intake.cancel("a", OTHERS).join()).isFalse();
+
+        assertThat(store.carryOutHeldCommits()).isZero();
+        assertThat(failure(intake.submit(job("a")))).isEqualTo(ResultCode.ALREADY_CANCELLED);
+    }
+
+    // Guards against a confirmation that rests on nothing: neither the withdrawal nor the read after it was answered.
+    @Test
+    void doesNotConfirmACancellationThatMayNotBeStored() {
+        store.holdCommits(Integer.MAX_VALUE);
+
+        assertThat(failure(intake.cancel("a", TEAM))).isEqualTo(ResultCode.WRITE_UNKNOWN);
+        store.holdCommits(0);
+
+        assertThat(intake.cancel("a", TEAM).join()).isFalse();
+    }
+
+    @Test
+    void confirmsACancellationWhoseAnswerWasLost() {
+        store.loseAnswers(1);
+        assertThat(intake.cancel("a", TEAM).join()).isFalse();
+
+        intake.submit(job("b")).join();
+        store.loseAnswers(1);
+        assertThat(intake.cancel("b", TEAM).join()).isTrue();
+    }
+
+    @Test
+    void boundsTheCancellationsOfUnknownIds() {
+        JobIntake timeless = new JobIntake(store, () -> heard, new ManualClock());
+        for (int i = 0; i < WithdrawalBudget.BURST; i++) {
+            timeless.cancel("unknown-" + i, TEAM).join();
+        }
+        timeless.submit(job("a")).join();
+
+        assertThat(failure(timeless.cancel("one-more", TEAM))).isEqualTo(ResultCode.TOO_MANY_CANCELS);
+        assertThat(timeless.cancel("a", TEAM).join()).isTrue();
+        assertThat(timeless.cancel("unknown-1", OTHERS).join()).isFalse();
+    }
+
     @Test
     void cancelsOnlyWhatIsKnown() {
         intake.submit(job("a")).join();
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -18,6 +18,7 @@
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.internal.batch.BatchJob;
 import io.pollenreach.internal.batch.EndKind;
+import io.pollenreach.internal.batch.JobOwner;
 import io.pollenreach.internal.batch.JobPhase;
 import io.pollenreach.internal.batch.ProgressRow;
 import io.pollenreach.internal.batch.Resources;
@@ -25,6 +26,8 @@
 import io.pollenreach.internal.batch.StepSpec;
 import io.pollenreach.internal.batch.WorkerOrders;
 import io.pollenreach.internal.batch.WorkerReport;
+import io.pollenreach.internal.intake.Withdrawal;
+import io.pollenreach.internal.intake.WithdrawalExpiry;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -385,6 +388,29 @@
         assertThat(storedRowsOfJobs()).isEmpty();
     }
 
+    @Test
+    void removesWithdrawalsThatAreOldButNoneThatChangedMeanwhile() throws Exception {
+        JobOwner team = new JobOwner("team", "q");
+        load();
+        store.put(Tables.WITHDRAWN, "old", RowCodec.toValue(Withdrawal.NONE.with(team)));
+        store.put(Tables.WITHDRAWN, "changed", RowCodec.toValue(Withdrawal.NONE.with(team)));
+        expireWithdrawals();
+        assertThat(store.get(Tables.WITHDRAWN, "old").join()).isPresent();
+        store.put(Tables.WITHDRAWN, "changed", RowCodec.toValue(Withdrawal.NONE.with(team)));
+
+        expireWithdrawals();
+
+        assertThat(store.get(Tables.WITHDRAWN, "old").join()).isEmpty();
+        assertThat(store.get(Tables.WITHDRAWN, "changed").join()).isPresent();
+    }
+
+    private void expireWithdrawals() throws InterruptedException {
+        clock.advanceMs(WithdrawalExpiry.MIN_AGE_MS);
+        term.step();
+        // The table is read in one step and its rows are handled in the next.
+        term.step();
+    }
+
     @Test
     void removesRowsOfProgressThatAreLeftWithoutTheirJob() throws Exception {
         putWorker("w1");
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/store/MemoryStore.java
@@ -25,6 +25,8 @@
     private int failingLists;
     private int answersToLose;
     private boolean refusingReads;
+    private int commitsToHold;
+    private final List<Transaction> heldCommits = new ArrayList<>();
     private CompletableFuture<Void> listsHeld = CompletableFuture.completedFuture(null);
     private final Set<String> unwatched = new HashSet<>();
     private final Map<String, List<CompletableFuture<Rows>>> waits = new HashMap<>();
@@ -39,6 +41,20 @@
         answersToLose = count;
     }
 
+    /** Leaves so many commits unanswered, to be carried out later. */
+    public synchronized void holdCommits(int count) {
+        commitsToHold = count;
+    }
+
+    /** Carries out the commits that were held, each if its conditions still hold; returns how many took effect. */
+    public synchronized long carryOutHeldCommits() {
+        List<Transaction> held = List.copyOf(heldCommits);
+        heldCommits.clear();
+        return held.stream()
+                .filter(tx -> !commit(tx).isCompletedExceptionally())
+                .count();
+    }
+
     /** Refuses reads of single rows, or answers them again. */
     public synchronized void refuseReads(boolean on) {
         refusingReads = on;
@@ -122,6 +138,11 @@
         if (failure != null) {
             return CompletableFuture.failedFuture(new PollenreachException(failure, "as told"));
         }
+        if (commitsToHold > 0) {
+            commitsToHold--;
+            heldCommits.add(tx);
+            return CompletableFuture.failedFuture(new PollenreachException(ResultCode.WRITE_UNKNOWN, "as told"));
+        }
         for (Transaction.Condition c : tx.conditions()) {
             StoredRow row = rows.get(c.table() + '/' + c.key());
             if ((row == null ? 0 : row.version()) != c.version()) {
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformFaultsTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformFaultsTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.pollenreach.daemon.internal.store.Tables;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -14,6 +15,9 @@
 class PlatformFaultsTest {
     private static final long END_MS = 60_000;
     private static final int JOBS = 6;
+    /** How late the store carries out a write that it left unanswered, in milliseconds. */
+    private static final long LATE_MS = 3_000;
+
     private static final String STEPS = "[{\"count\":2,\"gpu\":1},{\"count\":2,\"gpu\":1,\"gang\":true,\"after\":[0]}]";
     private PlatformCluster cluster;
 
@@ -111,6 +115,28 @@
         awaitEnds(ids);
     }
 
+    // Guards against a job that starts after its cancelling was confirmed (review/8): the entry that cancels finds no
+    // job,
+    // and the store carries out the write of another entry afterwards.
+    @Test
+    void startsNoJobThatIsStoredAfterItsCancellingWasConfirmed() throws Exception {
+        String id = PlatformCluster.id(400);
+        String body = "{\"specification\":\"work=700\",\"steps\":" + STEPS + "}";
+        cluster.store().loseAnswerOf(Tables.JOBS, LATE_MS);
+        assertThat(cluster.call("e1", "POST", id, body, PlatformCluster.KEY).statusCode())
+                .isEqualTo(504);
+
+        assertThat(cluster.call("e2", "DELETE", id, "", PlatformCluster.KEY).statusCode())
+                .isEqualTo(410);
+
+        Thread.sleep(LATE_MS);
+        List<String> ids = submitJobs(100);
+        awaitEnds(ids);
+        assertThat(cluster.record().starts(id + ".0.0.0")).isZero();
+        assertThat(cluster.call("e1", "GET", id, "", PlatformCluster.KEY).statusCode())
+                .isEqualTo(410);
+    }
+
     @Test
     void readsAgainWhenTheHistoryIsGone() throws Exception {
         List<String> ids = submitJobs(100);
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformPathTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformPathTest.java
@@ -1,5 +1,6 @@
 package io.pollenreach.systemtest;
 
+import java.net.http.HttpResponse;
 import java.util.List;
 
 import org.junit.jupiter.api.AfterAll;
@@ -64,6 +65,42 @@
         cluster.awaitState(id, "cancelled", END_MS);
     }
 
+    // Only 429 and 503 tell a submitter that the job never runs; there is no time at which it should come back.
+    @Test
+    void refusesAJobThatWasCancelledBeforeItCame() throws Exception {
+        String id = PlatformCluster.id(7);
+        assertThat(cluster.call("e1", "DELETE", id, "", PlatformCluster.KEY).statusCode())
+                .isEqualTo(410);
+
+        HttpResponse<String> refused = cluster.call(
+                "e2",
+                "POST",
+                id,
+                "{\"specification\":\"work=100\",\"steps\":[{\"count\":1,\"gpu\":1}]}",
+                PlatformCluster.KEY);
+
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.headers().firstValue("Retry-After")).isEmpty();
+        assertThat(cluster.call("e1", "GET", id, "", PlatformCluster.KEY).statusCode())
+                .isEqualTo(410);
+    }
+
+    // The entries have had a heartbeat with counts by the time at which a job runs.
+    @Test
+    void countsAJobAsWaitingUntilAWorkerHasStartedIt() throws Exception {
+        String id = PlatformCluster.id(8);
+        cluster.submit(id, "work=60000", "[{\"count\":1,\"gpu\":9}]");
+
+        Await.until("the job is counted", END_MS, () -> cluster.call("e1", "GET", "", "", PlatformCluster.KEY)
+                .body()
+                .equals("{\"pending\":1}"));
+        assertThat(cluster.state(id)).contains("queued");
+        cluster.call("e1", "DELETE", id, "", PlatformCluster.KEY);
+        Await.until("the job is counted no more", END_MS, () -> cluster.call("e1", "GET", "", "", PlatformCluster.KEY)
+                .body()
+                .equals("{\"pending\":0}"));
+    }
+
     @Test
     void takesAJobThatIsSubmittedTwiceAsOne() throws Exception {
         String id = PlatformCluster.id(6);
