Let the scheduler count with the lease that an agent grants

Cause: the length of a lease is read by each process at its start, and only the one who grants a lease knows what it granted.

Change: an agent's report tells the longest lease that its worker may hold, also that of the process before until it has expired (GrantedLease). The scheduler waits for the longer of that and its own; for an agent that tells none, for the longest that any worker has.

SchedulerStateTest.doesNotExpectReportsOfAnAgentWithoutAWorker calls the renamed query of the same meaning.

--- a/bench/src/main/java/io/pollenreach/bench/planning/SyntheticBatch.java
+++ b/bench/src/main/java/io/pollenreach/bench/planning/SyntheticBatch.java
@@ -120,7 +120,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                false);
+                false,
+                0);
     }
 
     private void report(WorkerReport report) {
--- a/core/src/main/java/io/pollenreach/internal/batch/LostWorkerDetector.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/LostWorkerDetector.java
@@ -26,16 +26,22 @@
     private static final long REPORT_GRACE_PERIOD_MS = 2_000;
 
     private final WorkerTable workers;
-    private final long lostAfterMs;
+    private final long leaseMs;
 
     /**
      * Creates a detector.
      *
-     * @param leaseMs the longest lease, in milliseconds; it begins before the report that it follows is stored
+     * @param leaseMs the longest lease by the settings of this process, in milliseconds; a lease begins before the report
+     *     that it follows is stored
      */
     public LostWorkerDetector(WorkerTable workers, long leaseMs) {
         this.workers = workers;
-        lostAfterMs = Math.round(leaseMs * CLOCK_DRIFT) + LOST_MARGIN_MS;
+        this.leaseMs = leaseMs;
+    }
+
+    /** Returns how long after a report every lease of a length that followed it has expired, in milliseconds. */
+    static long expiredAfterMs(long leaseMs) {
+        return Math.round(leaseMs * CLOCK_DRIFT) + LOST_MARGIN_MS;
     }
 
     /**
@@ -46,6 +52,15 @@
      * @param storeAvailableFor tells whether the store has responded without a break for a time, in milliseconds
      */
     public List<WorkerReport> find(LongPredicate storeAvailableFor, long nowMs) {
-        return storeAvailableFor.test(REPORT_GRACE_PERIOD_MS) ? workers.unresponsiveFor(lostAfterMs, nowMs) : List.of();
+        if (!storeAvailableFor.test(REPORT_GRACE_PERIOD_MS)) {
+            return List.of();
+        }
+        long longestMs = workers.longestLeaseMs(leaseMs);
+        return workers.unresponsive(w -> expiredAfterMs(leaseOf(w, longestMs)), nowMs);
+    }
+
+    /** An agent that does not tell its lease may have been started with any that others tell. */
+    private long leaseOf(WorkerReport report, long longestMs) {
+        return report.leaseMs() > 0 ? Math.max(leaseMs, report.leaseMs()) : longestMs;
     }
 }
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerReport.java
@@ -26,6 +26,8 @@
  * @param ends ends that the scheduler has not acknowledged, by increasing number
  * @param formerEnds ends of earlier incarnations that the scheduler had not acknowledged when this incarnation started
  * @param lost set by the scheduler: every run of this incarnation counts as lost
+ * @param leaseMs the longest lease that the worker may hold, in milliseconds past a reading of its clock from before this
+ *     report; 0 in reports of earlier versions
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record WorkerReport(
@@ -44,7 +46,8 @@
         List<RunningTask> active,
         List<RunEnd> ends,
         List<RunEnd> formerEnds,
-        boolean lost) {
+        boolean lost,
+        long leaseMs) {
     /** An incarnation that no agent registers; stored rows omit empty values, and a report needs one. */
     private static final String UNKNOWN = "unknown";
 
@@ -98,7 +101,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                false);
+                false,
+                0);
     }
 
     /** Returns a copy of this report that is marked as lost. */
@@ -130,7 +134,8 @@
                 running,
                 newEnds,
                 oldEnds,
-                isLost);
+                isLost,
+                leaseMs);
     }
 
     /** Tells whether the worker has a label; true for an empty label. */
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerTable.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 
 /**
  * The workers that a scheduler knows, by the names of their agents.
@@ -28,18 +29,25 @@
     }
 
     /**
-     * Returns the last reports of the workers that have not reported for longer than a time, in milliseconds. Leaves
-     * out workers already marked as lost and agents without a worker, but not those whose report cannot be read.
+     * Returns the last reports of the workers that have not reported for longer than a time. Leaves out workers already
+     * marked as lost and agents without a worker, but not those whose report cannot be read.
+     *
+     * @param timeoutMs returns that time of a worker by its last report, in milliseconds
      */
-    public List<WorkerReport> unresponsiveFor(long timeoutMs, long nowMs) {
+    List<WorkerReport> unresponsive(ToLongFunction<WorkerReport> timeoutMs, long nowMs) {
         return byAgent.values().stream()
                 .filter(w -> !w.reportReadable() || !w.report().instance().isEmpty())
                 .filter(w -> !w.report().lost())
-                .filter(w -> nowMs - w.reportedMs() > timeoutMs)
+                .filter(w -> nowMs - w.reportedMs() > timeoutMs.applyAsLong(w.report()))
                 .map(WorkerAllocations::report)
                 .toList();
     }
 
+    /** Returns the longest lease that any agent reports, or a shortest one, in milliseconds. */
+    long longestLeaseMs(long shortestMs) {
+        return byAgent.values().stream().mapToLong(w -> w.report().leaseMs()).reduce(shortestMs, Math::max);
+    }
+
     /** Returns the store's version of an agent's newest report; 0 if there is none. */
     public long reportVersion(String agent) {
         WorkerAllocations w = byAgent.get(agent);
--- a/core/src/test/java/io/pollenreach/internal/batch/LostWorkerDetectorTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/LostWorkerDetectorTest.java
@@ -41,6 +41,39 @@
                 .containsExactly("w1");
     }
 
+    // Guards against two runs at once: an agent that had started again after the settings changed granted longer leases
+    // than the scheduler had read at its own start (review/6).
+    @Test
+    void countsWithTheLeaseThatTheAgentGrants() {
+        fixture.setLease(10_000);
+        long reportedMs = reportedMs();
+
+        assertThat(detector.find(STORE_AVAILABLE, reportedMs + 10_400)).isEmpty();
+        assertThat(detector.find(STORE_AVAILABLE, reportedMs + 10_401)).hasSize(1);
+    }
+
+    @Test
+    void countsWithItsOwnLeaseIfThatIsLonger() {
+        fixture.setLease(2_000);
+        long reportedMs = reportedMs();
+
+        assertThat(detector.find(STORE_AVAILABLE, reportedMs + LOST_AFTER_MS)).isEmpty();
+    }
+
+    // An agent of an earlier version does not tell its lease, and may have read the same settings as one that does.
+    @Test
+    void countsWithTheLongestLeaseForAnAgentThatTellsNone() {
+        fixture.setLease(10_000);
+        fixture.worker("w2", "r1");
+        fixture.setLease(0);
+        long reportedMs = reportedMs();
+
+        assertThat(detector.find(STORE_AVAILABLE, reportedMs + 10_400)).isEmpty();
+        assertThat(detector.find(STORE_AVAILABLE, reportedMs + 10_401))
+                .extracting(WorkerReport::agent)
+                .containsExactly("w1", "w2");
+    }
+
     // Guards against taking an outage of the store for the silence of all agents.
     @Test
     void findsNoWorkerSoonAfterTheStoreHasReturned() {
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -28,6 +28,8 @@
     private final List<String> events = new ArrayList<>();
     private long version = 1;
     private long nowMs;
+    /** The lease that agents report from now on, in milliseconds. */
+    private long leaseMs = 6_000;
 
     private void record(String event, Object... keysAndValues) {
         events.add(event);
@@ -69,7 +71,12 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                false));
+                false,
+                leaseMs));
+    }
+
+    void setLease(long ms) {
+        leaseMs = ms;
     }
 
     void submit(Jobs job) {
@@ -150,7 +157,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                false));
+                false,
+                leaseMs));
     }
 
     /** Applies the newest report again and returns the resulting changes. */
@@ -186,7 +194,8 @@
                 active,
                 ends,
                 formerEnds,
-                false);
+                false,
+                r.leaseMs());
     }
 
     private void report(WorkerReport written) {
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
@@ -322,7 +322,7 @@
         fixture.worker("w1", "r1");
         fixture.detachWorker("w1");
 
-        assertThat(fixture.state().workers().unresponsiveFor(1_000, 100_000)).isEmpty();
+        assertThat(fixture.state().workers().unresponsive(w -> 1_000, 100_000)).isEmpty();
     }
 
     @Test
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -72,6 +72,7 @@
     private final SchedulerState state;
     private final Timer passTimer;
     private final Counter workersExamined;
+    private final long leaseMs;
     private final LostWorkerDetector lostWorkerDetector;
     private final RowRemover rowRemover;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
@@ -106,7 +107,8 @@
         advisor = context.advisor();
         clock = context.clock();
         state = new SchedulerState(log);
-        lostWorkerDetector = new LostWorkerDetector(state.workers(), context.leaseMs());
+        leaseMs = context.leaseMs();
+        lostWorkerDetector = new LostWorkerDetector(state.workers(), leaseMs);
         rowRemover = new RowRemover(store, this::newTermTransaction, clock.nowMs());
         lastExpiryMs = clock.nowMs();
     }
@@ -356,7 +358,11 @@
                     "report",
                     reportVersion,
                     "why",
-                    LossReason.LEASE_EXPIRED.logName());
+                    LossReason.LEASE_EXPIRED.logName(),
+                    "leaseToldMs",
+                    report.leaseMs(),
+                    "leaseMs",
+                    leaseMs);
             state.declareLost(lost, lostVersion, nowMs);
         } catch (RuntimeException e) {
             PollenreachException failure = PollenreachException.of(e);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -80,7 +80,7 @@
     public BatchAgent(String name, StateStore store, TaskRunner runner, Clock clock, long leaseMs) {
         this.name = name;
         this.store = store;
-        claims = new Claims(name, store, clock);
+        claims = new Claims(name, store, clock, leaseMs);
         this.runner = runner;
         this.clock = clock;
         thread = new ScheduledThreadPoolExecutor(1, r -> {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Claims.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Claims.java
@@ -16,6 +16,7 @@
 import io.pollenreach.daemon.internal.store.StoredRow;
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.daemon.internal.store.Transaction;
+import io.pollenreach.internal.batch.GrantedLease;
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.WorkerReport;
 
@@ -30,11 +31,13 @@
     private final String agent;
     private final StateStore store;
     private final Clock clock;
+    private final long leaseMs;
 
-    Claims(String agent, StateStore store, Clock clock) {
+    Claims(String agent, StateStore store, Clock clock, long leaseMs) {
         this.agent = agent;
         this.store = store;
         this.clock = clock;
+        this.leaseMs = leaseMs;
     }
 
     /** Returns what the store has of this agent. */
@@ -64,7 +67,10 @@
                 same.map(WorkerReport::incarnation).orElse(worker.instance() + "@" + worker.bornMs() + "/" + before);
         List<RunEnd> former = known.map(r -> formerEnds(r, same.isPresent())).orElse(List.of());
         long sequence = same.map(WorkerReport::sequence).orElse(0L) + 1;
-        WorkerReport claim = worker.report(agent, id, false, sequence)
+        long nowMs = clock.nowMs();
+        GrantedLease lease =
+                new GrantedLease(leaseMs, known.map(WorkerReport::leaseMs).orElse(0L), nowMs);
+        WorkerReport claim = worker.report(agent, id, false, sequence, lease.longestMs(nowMs))
                 .withRuns(
                         same.map(WorkerReport::ordersSeen).orElse(0L),
                         same.map(WorkerReport::active).orElse(List.of()),
@@ -74,8 +80,19 @@
                 .expect(Tables.WORKERS, agent, before)
                 .write(Tables.WORKERS, agent, RowCodec.toValue(claim));
         return store.commit(tx).thenApply(version -> {
-            EVENTS.info("worker-claimed", "incarnation", id, "token", version, "continued", same.isPresent());
-            return new Incarnation(worker, version, claim, clock.nowMs());
+            EVENTS.info(
+                    "worker-claimed",
+                    "incarnation",
+                    id,
+                    "token",
+                    version,
+                    "continued",
+                    same.isPresent(),
+                    "leaseMs",
+                    leaseMs,
+                    "leaseToldMs",
+                    claim.leaseMs());
+            return new Incarnation(worker, version, claim, lease, clock.nowMs());
         });
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
@@ -6,6 +6,7 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.store.TableWatch;
+import io.pollenreach.internal.batch.GrantedLease;
 import io.pollenreach.internal.batch.RefusedCalls;
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.WorkerReport;
@@ -56,7 +57,10 @@
 
     final FillerPacer fillers;
 
-    Incarnation(WorkerInfo worker, long token, WorkerReport claim, long nowMs) {
+    private final GrantedLease lease;
+
+    Incarnation(WorkerInfo worker, long token, WorkerReport claim, GrantedLease lease, long nowMs) {
+        this.lease = lease;
         fillers = new FillerPacer(nowMs);
         this.worker = worker;
         this.token = token;
@@ -85,9 +89,10 @@
     }
 
     /** Writes the next report. */
-    WorkerReport nextReport(String agent, WorkerInfo newest) {
+    WorkerReport nextReport(String agent, WorkerInfo newest, long nowMs) {
         WorkerInfo w = newest.sameProcess(worker) ? newest : worker;
         boolean takesTasks = settled && !newest.draining();
-        return w.report(agent, id, takesTasks, ++sequence).withRuns(ordersSeen, runs.active(), runs.ends(), formerEnds);
+        return w.report(agent, id, takesTasks, ++sequence, lease.longestMs(nowMs))
+                .withRuns(ordersSeen, runs.active(), runs.ends(), formerEnds);
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Reporter.java
@@ -73,7 +73,8 @@
         inc.reporting = true;
         inc.reportSoon = false;
         inc.reportedMs = nowMs;
-        Draft draft = new Draft(inc.nextReport(agent, context.newestFacts()), inc.runnerClockMs, inc.runs.newestEnd());
+        Draft draft =
+                new Draft(inc.nextReport(agent, context.newestFacts(), nowMs), inc.runnerClockMs, inc.runs.newestEnd());
         claims.write(inc.rowVersion, draft.report(), WRITE_TIMEOUT_MS)
                 .whenComplete((v, t) -> context.execute(() -> sent(inc, draft, v, t)));
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkerInfo.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkerInfo.java
@@ -40,8 +40,8 @@
                 r.instance(), r.bornMs(), 0, r.pool(), r.zone(), !r.takesTasks(), r.capacity(), r.labels(), r.rack());
     }
 
-    /** Begins a report of the worker; it names no runs. */
-    WorkerReport report(String agent, String incarnation, boolean takesTasks, long sequence) {
+    /** Begins a report of the worker, which may hold leases of {@code leaseMs} milliseconds; it names no runs. */
+    WorkerReport report(String agent, String incarnation, boolean takesTasks, long sequence, long leaseMs) {
         return new WorkerReport(
                 agent,
                 incarnation,
@@ -58,7 +58,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                false);
+                false,
+                leaseMs);
     }
 
     WorkerInfo withDraining() {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/RowSizesTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/RowSizesTest.java
@@ -121,7 +121,7 @@
     private void report(String worker, List<RunningTask> active, List<RunEnd> ends) {
         WorkerReport report = new WorkerReport(
                 worker, "i", worker, 1, "pool", CAPACITY, List.of(), "", "", true, 1, version, active, ends, List.of(),
-                false);
+                false, 0);
         check(worker, report);
         state.report(report, ++version, nowMs);
     }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/TermTest.java
@@ -84,7 +84,8 @@
                 List.of(),
                 List.of(ends),
                 List.of(),
-                false);
+                false,
+                0);
         store.put(Tables.WORKERS, name, RowCodec.toValue(report));
     }
 
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/UnreadableWorkerTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/UnreadableWorkerTest.java
@@ -58,7 +58,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                false);
+                false,
+                0);
         store.put(Tables.WORKERS, name, RowCodec.toValue(report));
     }
 
