Believe a heartbeat that differs only once another one confirms it

Callers saw: a job stayed queued for ever beside empty, sound workers.

Cause: a heartbeat was taken whole if its number was not below the newest one. The odd one set the worker's pool, and its number made all true ones late.

Change: AnnouncementFilter. A process keeps its pool, zone, capacity and labels for life and counts its heartbeats one by one.

--- a/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
+++ b/bench/src/main/java/io/pollenreach/bench/emulator/EmulatedWorker.java
@@ -124,6 +124,11 @@
         return server.port();
     }
 
+    /** Returns when this process started, in milliseconds since the Unix epoch. */
+    public long bornMs() {
+        return born;
+    }
+
     /** Leaves orders to start unanswered and carries them out after a delay in milliseconds; 0 ends that. */
     public synchronized void setLateStarts(long afterMs) {
         lateStartsMs = afterMs;
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -16,6 +16,7 @@
 import io.pollenreach.daemon.internal.store.StoredRow;
 import io.pollenreach.daemon.internal.store.TableWatch;
 import io.pollenreach.daemon.internal.store.Tables;
+import io.pollenreach.internal.batch.AnnouncementFilter;
 import io.pollenreach.internal.batch.TaskRun;
 import io.pollenreach.internal.batch.WorkerOrders;
 
@@ -61,6 +62,8 @@
     private final OrderSender orders;
     /** What the worker says of itself; null while no worker is known. */
     private WorkerInfo facts;
+    /** Tells what the known worker says of itself from what others say; null while no worker is known. */
+    private AnnouncementFilter<WorkerInfo.Description> announcements;
     /** Whether the worker has said that it leaves. */
     private boolean leaving;
 
@@ -114,7 +117,7 @@
             return;
         }
         Claims.report(row).filter(r -> !r.instance().isEmpty()).ifPresent(r -> {
-            facts = WorkerInfo.of(r);
+            become(WorkerInfo.of(r));
             claim();
         });
         identification.start(row.map(StoredRow::version).orElse(0L)).ifPresent(this::take);
@@ -127,11 +130,11 @@
 
     private void take(WorkerInfo sent) {
         if (facts != null && facts.sameProcess(sent)) {
-            if (sent.sequence() < facts.sequence()) {
+            if (!accept(sent)) {
                 return;
             }
             boolean changed =
-                    sent.draining() != facts.draining() || !sent.capacity().equals(facts.capacity());
+                    sent.draining() != facts.draining() || !sent.description().equals(facts.description());
             facts = sent;
             // A worker that still announces itself as ready has not left.
             leaving &= sent.draining();
@@ -148,9 +151,22 @@
         identification.announce(sent);
     }
 
+    private boolean accept(WorkerInfo sent) {
+        AnnouncementFilter.Verdict verdict = announcements.take(sent.description(), sent.sequence());
+        if (verdict == AnnouncementFilter.Verdict.DOUBTFUL) {
+            EVENTS.warn("heartbeat-doubtful", "worker", sent, "known", facts);
+        }
+        return verdict == AnnouncementFilter.Verdict.ACCEPTED;
+    }
+
+    private void become(WorkerInfo worker) {
+        facts = worker;
+        announcements = new AnnouncementFilter<>(worker.description(), worker.sequence());
+    }
+
     private void identified(WorkerInfo worker) {
         EVENTS.info("worker-found", "worker", worker);
-        facts = worker;
+        become(worker);
         leaving = false;
         claim();
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkerInfo.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/WorkerInfo.java
@@ -62,6 +62,17 @@
                 leaseMs);
     }
 
+    /**
+     * What a process keeps during its life; another kind of worker, or one of another pool, is another process.
+     *
+     * <p>Immutable.
+     */
+    record Description(String pool, String zone, Resources capacity, List<String> labels, String rack) {}
+
+    Description description() {
+        return new Description(pool, zone, capacity, labels, rack);
+    }
+
     WorkerInfo withDraining() {
         return new WorkerInfo(instance, bornMs, sequence, pool, zone, true, capacity, labels, rack);
     }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/BatchAgentTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/BatchAgentTest.java
@@ -84,6 +84,32 @@
         assertThat(worker.stopped).isEmpty();
     }
 
+    private static WorkerInfo heartbeat(long sequence, String pool, boolean draining) {
+        return new WorkerInfo(
+                "i1", 1, sequence, pool, "zone", draining, new Resources(1_000, 1_000, 8), List.of(), "rack");
+    }
+
+    // Guards against a worker that one heartbeat of another writer takes out of use for good: it named an unknown pool
+    // and
+    // a high number, so that all true ones counted as late (review/9).
+    @Test
+    @Timeout(30)
+    void hearsItsWorkerBesideAnOddHeartbeatUnderItsName() throws Exception {
+        agent.start();
+        agent.heartbeat(heartbeat(1, "pool", false));
+        while (storedReport().filter(WorkerReport::takesTasks).isEmpty()) {
+            Thread.sleep(POLL_MS);
+        }
+
+        agent.heartbeat(heartbeat(1_000_000, "unknown", false));
+        agent.heartbeat(heartbeat(2, "pool", true));
+
+        while (storedReport().filter(r -> !r.takesTasks()).isEmpty()) {
+            Thread.sleep(POLL_MS);
+        }
+        assertThat(storedReport().orElseThrow().pool()).isEqualTo("pool");
+    }
+
     /** A worker that starts whatever it is told and answers each poll after a while. */
     private static final class FakeWorker implements TaskRunner {
         private final Queue<TaskRun> started = new ConcurrentLinkedQueue<>();
--- a/systemtest/src/test/java/io/pollenreach/systemtest/OddEntriesTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/OddEntriesTest.java
@@ -60,26 +60,29 @@
     }
 
     private void sendOddHeartbeats() throws Exception {
-        HttpClient http = HttpClient.newHttpClient();
         for (String agent : cluster.agents()) {
-            String address = cluster.daemon(agent).settings().stream()
-                    .filter(l -> l.startsWith("listen-addresses.control="))
-                    .findFirst()
-                    .orElseThrow()
-                    .replace("listen-addresses.control=", "");
             for (String body : ODD) {
                 for (String instance : List.of("i-" + agent, "i-other")) {
-                    HttpRequest request = HttpRequest.newBuilder(
-                                    URI.create("http://" + address + "/Instances.Heartbeat/" + instance))
-                            .timeout(Duration.ofSeconds(5))
-                            .POST(HttpRequest.BodyPublishers.ofString(body))
-                            .build();
-                    http.send(request, HttpResponse.BodyHandlers.discarding());
+                    sendHeartbeat(agent, instance, body);
                 }
             }
         }
     }
 
+    private void sendHeartbeat(String agent, String instance, String body) throws Exception {
+        String address = cluster.daemon(agent).settings().stream()
+                .filter(l -> l.startsWith("listen-addresses.control="))
+                .findFirst()
+                .orElseThrow()
+                .replace("listen-addresses.control=", "");
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + address + "/Instances.Heartbeat/" + instance))
+                .timeout(Duration.ofSeconds(5))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
+    }
+
     private void runJobs(int from) throws Exception {
         List<String> ids = new ArrayList<>();
         for (int i = from; i < from + 4; i++) {
@@ -113,4 +116,23 @@
         assertThat(all).allMatch(name -> cluster.daemon(name).alive());
         assertThat(cluster.record().violations()).isEmpty();
     }
+
+    // Guards against a worker that one heartbeat of another writer takes out of use for good (review/9): a valid one
+    // under
+    // the name of the worker's process, with a service that does not exist and a high number.
+    @Test
+    void usesItsWorkersBesideHeartbeatsOfAnUnknownService() throws Exception {
+        runJobs(1);
+        for (int i = 0; i < cluster.agents().size(); i++) {
+            String agent = cluster.agents().get(i);
+            String body = "{\"service\":\"unknown\",\"address\":\"127.0.0.1:1\",\"zone\":\"zone\",\"state\":\"ready\","
+                    + "\"born\":" + cluster.workers().get(i).bornMs() + ",\"sequence\":1000000,"
+                    + "\"capacity\":{\"cpu\":1000,\"requested-memory-mb\":1000,\"gpu\":8},\"labels\":[\"a\"]}";
+            sendHeartbeat(agent, "i-" + agent, body);
+        }
+
+        runJobs(10);
+
+        assertThat(cluster.record().violations()).isEmpty();
+    }
 }
