Tell fillers their pace each second

Cause: an order to pace that a worker leaves unanswered may be carried out seconds later, over newer ones. FillerPacer told a pace again only when it changed or an order had failed, and at 0 it changes no more.

Change: each filler is told its pace each second, by a call on its machine.

Evidence: FillerPacerTest.tellsAPaceAgainThatALateOrderMayHaveOverridden fails without the repetition.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/FillerPacer.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/FillerPacer.java
@@ -14,8 +14,8 @@
 /**
  * Slows the fillers of one incarnation of a worker while they disturb the tasks that serve beside them.
  *
- * <p>Invariant: a filler whose pace is not known to the worker is told it again with the next poll. Not safe for use by
- * many threads: the agent's thread owns it.
+ * <p>Invariant: a filler whose pace is not known to the worker is told it again with the next poll, and every filler each
+ * second. Not safe for use by many threads: the agent's thread owns it.
  */
 final class FillerPacer {
     /** What a pacer needs of its agent. */
@@ -24,10 +24,23 @@
         void pace(TaskRun run, int percent, Runnable failed);
     }
 
+    /**
+     * How long a pace stands before it is told again, in milliseconds: a worker may carry out an order that it left
+     * unanswered seconds later, over newer ones, and a target may be missed for four seconds.
+     */
+    static final long REPEAT_MS = 1_000;
+
     private static final Events EVENTS = Events.of(FillerPacer.class);
 
     private final FillerThrottle pace;
-    private final Map<TaskRun, Integer> told = new HashMap<>();
+    private final Map<TaskRun, Told> told = new HashMap<>();
+
+    /** The pace that a run was told last, and when. Immutable. */
+    private record Told(int percent, long toldMs) {
+        boolean isCurrent(int wanted, long nowMs) {
+            return percent == wanted && nowMs - toldMs < REPEAT_MS;
+        }
+    }
 
     FillerPacer(long nowMs) {
         pace = new FillerThrottle(nowMs);
@@ -57,8 +70,9 @@
                     fillers.size());
         }
         for (TaskRun run : fillers) {
-            Integer known = told.put(run, pace.percent());
-            if (known == null || known != pace.percent()) {
+            Told known = told.get(run);
+            if (known == null || !known.isCurrent(pace.percent(), nowMs)) {
+                told.put(run, new Told(pace.percent(), nowMs));
                 host.pace(run, pace.percent(), () -> told.remove(run));
             }
         }
