--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -37,6 +37,9 @@
     /** Largest number of tasks in a step: a quarter of the tasks that the largest deployment runs at a time. */
     private static final int MAX_TASKS = 10_000;
 
+    /** Largest number of tasks in all occurrences, which may all be due at once. */
+    private static final int MAX_TASKS_IN_ALL = 1_000_000;
+
     /** Largest need of a task, far beyond any worker, so that sums over all tasks of a step stay in range. */
     private static final Resources MAX_NEED = new Resources(1_000_000_000, 1_000_000_000, 100_000);
 
@@ -53,6 +56,12 @@
         for (int i = 0; i < steps.size(); i++) {
             check(steps.get(i), i);
         }
+        long tasks =
+                steps.stream().mapToLong(StepSpec::taskCount).sum() * (recurrence == null ? 1 : recurrence.times());
+        if (tasks > MAX_TASKS_IN_ALL) {
+            String detail = "all occurrences together have " + tasks + " tasks; the limit is " + MAX_TASKS_IN_ALL;
+            throw new PollenreachException(ResultCode.OUT_OF_RANGE, "recurrence", detail);
+        }
     }
 
     private static void check(StepSpec step, int index) {
