Note the first version of changes that take several transactions

Cause: for all stops the version of the last transaction was noted. The stop of a run that never began is over once its worker's agent has seen the orders that hold it; an agent whose orders were in an earlier transaction never sees that version, so the stop held its capacity until the orders were written again.

Change: the version of the first transaction is noted. Rows of this change have it or a newer one, rows of earlier changes an older one.

--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -454,7 +454,11 @@
         return new StateChanges(rows, orders);
     }
 
-    /** Records that the changes returned by {@link #changes()} were stored under a version. */
+    /**
+     * Records that the changes returned by {@link #changes()} were stored.
+     *
+     * @param version the version of the earliest of their rows; no row of an earlier change has it or a newer one
+     */
     public void committed(long version) {
         changedJobs.forEach(id -> jobs.get(id).committed());
         changedWorkers.stream()
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Term.java
@@ -397,12 +397,12 @@
             return;
         }
         try {
-            long lastVersion = version;
+            List<Long> versions = new ArrayList<>();
             for (Transaction tx : transactions(changes)) {
-                lastVersion = store.commit(tx).join();
+                versions.add(store.commit(tx).join());
             }
             lastHeartbeatMs = nowMs;
-            state.committed(lastVersion);
+            state.committed(versions.get(0));
             hasUnstoredChanges = false;
         } catch (RuntimeException e) {
             hasUnstoredChanges = true;
