Stop a run that the leader before gave up and did not stop

Cause: progress is stored before orders, and changes of over 100 rows take several transactions. A leader that stops between them leaves a run in the orders whose task waits. The next one took it as it stood, and a cancellation stops the runs of placed tasks alone.

Change: when the state is restored, a run in a worker's known orders that its task is not placed as is stopped. Runs of unknown jobs are left as they are.

Evidence: RecoveryTest.stopsARunThatWasGivenUpBeforeItsStopWasStored fails without the change.

--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerRecovery.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerRecovery.java
@@ -52,7 +52,7 @@
 
     /**
      * Completes a restore: holds or requeues tasks whose run is in no worker's orders, and stops the runs of jobs that
-     * have ended.
+     * have ended and those that were given up.
      *
      * <p>Progress is stored before or together with the orders, and a task's placement is removed from its progress no
      * later than from the orders. So if the orders of a worker are known and lack a run, it was never ordered, or its worker
@@ -68,9 +68,28 @@
             boolean ended = job.phase().ended();
             placed(job).forEach(ended ? t -> state.stop(t, nowMs) : t -> releaseUnlessOrdered(job, t, nowMs));
         }
+        state.workers().all().forEach(w -> stopUnplaced(w, nowMs));
         state.workers().all().stream().filter(w -> !w.isReadable()).forEach(w -> logHeld(w, nowMs));
     }
 
+    /**
+     * Stops the runs in a worker's orders that their tasks are not placed as: the scheduler before gave them up, and had
+     * stored that in the progress of their jobs and not yet in the orders.
+     */
+    private void stopUnplaced(WorkerAllocations w, long nowMs) {
+        for (TaskRun run : w.runs()) {
+            JobProgress job = state.jobs().get(run.task().job());
+            boolean givenUp = job != null
+                    && job.find(run.task())
+                            .filter(t -> t.isPlacedAs(w.name(), run.run()))
+                            .isEmpty();
+            if (givenUp && w.stop(run, nowMs)) {
+                state.recordChange(w);
+                log.logDecision("unplaced-run-stopped", "worker", w.name(), "task", run.task(), "run", run.run());
+            }
+        }
+    }
+
     private static List<TaskProgress> placed(JobProgress job) {
         return job.tasks().filter(t -> t.state() == TaskProgress.State.PLACED).toList();
     }
--- a/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
@@ -57,6 +57,30 @@
         assertThat(next.orders("w1").runs()).hasSize(1);
     }
 
+    // Guards against a task that runs on after its job was cancelled: the leader had stored that it gave the run up,
+    // and
+    // stopped before it had stored the worker's orders.
+    @Test
+    void stopsARunThatWasGivenUpBeforeItsStopWasStored() {
+        TaskRun run = new TaskRun(TaskId.of("a.0.0.0"), 1);
+        fixture.worker("w1", "r1");
+        fixture.submit(Jobs.job("a").priority(2).step(Jobs.step(1, 8)));
+        fixture.running("w1", "a.0.0.0", 1, "");
+        fixture.storeProgressAlone();
+        fixture.submit(Jobs.job("urgent").priority(0).step(Jobs.step(1, 8)));
+        assertThat(fixture.progress("a").tasks()).allMatch(t -> t.state() == TaskProgress.State.WAITING);
+
+        SchedulerFixture next = fixture.successor();
+        next.cancel("a");
+
+        assertThat(next.orders("w1").runs()).noneMatch(r -> r.run().equals(run));
+        assertThat(next.orders("w1").stops()).containsExactly(run);
+        next.end("w1", 1, "a.0.0.0", 1, EndKind.STOPPED);
+        assertThat(next.orders("w1").runs())
+                .extracting(r -> r.run().task().job())
+                .containsExactly("urgent");
+    }
+
     private List<Integer> runNumbers() {
         return Stream.of("w1", "w2")
                 .flatMap(w -> fixture.orders(w).runs().stream())
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -26,6 +26,7 @@
     private final Set<String> unreadableReports = new HashSet<>();
     private final Set<String> unreadableOrders = new HashSet<>();
     private final List<String> events = new ArrayList<>();
+    private boolean storingOrders = true;
     private long version = 1;
     private long nowMs;
     /** The lease that agents report from now on, in milliseconds. */
@@ -75,6 +76,11 @@
                 leaseMs));
     }
 
+    /** Lets this scheduler stop between the transactions with progress and those with orders, from now on. */
+    void storeProgressAlone() {
+        storingOrders = false;
+    }
+
     void setLease(long ms) {
         leaseMs = ms;
     }
@@ -222,7 +228,9 @@
         changes.jobs()
                 .values()
                 .forEach(rows -> rows.forEach((key, row) -> progress.put(key, roundTrip(row, ProgressRow.class))));
-        changes.workers().forEach((name, row) -> orders.put(name, roundTrip(row, WorkerOrders.class)));
+        if (storingOrders) {
+            changes.workers().forEach((name, row) -> orders.put(name, roundTrip(row, WorkerOrders.class)));
+        }
         state.committed(++version);
     }
 
