Bound only the occurrences of a job that are due at once

Occurrences without a time between them are all due together, so their tasks stay bounded.

Evidence: WireTest.readsAJobThatRecursWithoutAnEnd, which fails under the earlier bound; the rows of refusesAJobThatCannotBeRead are unchanged.

--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -37,8 +37,8 @@
     /** Largest number of tasks in a step: a quarter of the tasks that the largest deployment runs at a time. */
     private static final int MAX_TASKS = 10_000;
 
-    /** Largest number of tasks in all occurrences, which may all be due at once. */
-    private static final int MAX_TASKS_IN_ALL = 1_000_000;
+    /** Largest number of tasks in occurrences without a time between them. */
+    private static final int MAX_TASKS_AT_ONCE = 1_000_000;
 
     /** Largest need of a task, far beyond any worker, so that sums over all tasks of a step stay in range. */
     private static final Resources MAX_NEED = new Resources(1_000_000_000, 1_000_000_000, 100_000);
@@ -56,10 +56,16 @@
         for (int i = 0; i < steps.size(); i++) {
             check(steps.get(i), i);
         }
-        long tasks =
-                steps.stream().mapToLong(StepSpec::taskCount).sum() * (recurrence == null ? 1 : recurrence.times());
-        if (tasks > MAX_TASKS_IN_ALL) {
-            String detail = "all occurrences together have " + tasks + " tasks; the limit is " + MAX_TASKS_IN_ALL;
+        if (recurrence != null) {
+            check(recurrence, steps.stream().mapToLong(StepSpec::taskCount).sum());
+        }
+    }
+
+    private static void check(Recurrence recurrence, long tasksPerOccurrence) {
+        long tasks = tasksPerOccurrence * recurrence.times();
+        if (recurrence.intervalMs() <= 0 && tasks > MAX_TASKS_AT_ONCE) {
+            String detail =
+                    "the occurrences are due at once and have " + tasks + " tasks; the limit is " + MAX_TASKS_AT_ONCE;
             throw new PollenreachException(ResultCode.OUT_OF_RANGE, "recurrence", detail);
         }
     }
