Soak: callers that leave early and cancel, and counts of waiting jobs

One submitter in eight now waits 0.4 s for one answer and, without one, cancels the job at another entry; no task may start later than the bound after that was confirmed, by 200 or 410. Each entry is asked for its count of waiting jobs all the time, which may not be under half of the jobs that were accepted 5 s before and have not begun, as long as the entry and the store are undisturbed.

--- a/systemtest/src/test/java/io/pollenreach/systemtest/SoakChecks.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/SoakChecks.java
@@ -42,6 +42,14 @@
         return true;
     }
 
+    /** Counts the jobs that were accepted before a time and of which no task has started, without those to be cancelled. */
+    static long waiting(List<SoakJob> jobs, RunRecord record, long acceptedBeforeMs) {
+        return jobs.stream()
+                .filter(j -> j.acceptedMs() < acceptedBeforeMs && !j.isCancelSent())
+                .filter(j -> j.tasks(0).stream().allMatch(t -> record.starts(t) == 0))
+                .count();
+    }
+
     /** Returns when a step was done, if it was. */
     private static OptionalLong doneMs(SoakJob job, int step, RunRecord record) {
         List<OptionalLong> done = job.tasks(step).stream().map(record::doneMs).toList();
--- a/systemtest/src/test/java/io/pollenreach/systemtest/SoakJob.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/SoakJob.java
@@ -25,6 +25,7 @@
     private static final int FAIL_ONCE = 8;
     private static final int FAIL_ALWAYS = 4;
     private static final int CANCELS = 15;
+    private static final long GIVE_UP_IN = 8;
     /** As many failed runs as the queue allows attempts. */
     private static final int ALL_ATTEMPTS = 3;
 
@@ -149,6 +150,12 @@
         return cancelledMs;
     }
 
+    /** Tells whether its submitter waits for one short answer only, and cancels it elsewhere without one. */
+    boolean givesUp() {
+        // Not drawn, so that the jobs of seeds that failed once stay the same.
+        return Long.remainderUnsigned(Long.parseUnsignedLong(id, 16), GIVE_UP_IN) == 0;
+    }
+
     /** Tells whether every attempt to submit it was refused. */
     boolean refused() {
         return refused && !unknown && !accepted();
--- a/systemtest/src/test/java/io/pollenreach/systemtest/SoakTraffic.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/SoakTraffic.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.pollenreach.Clock;
 
@@ -43,6 +45,13 @@
     private static final long STOP_MS = 30_000;
 
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+    /** How long a caller that leaves early waits. */
+    private static final Duration GIVE_UP_TIMEOUT = Duration.ofMillis(400);
+
+    /** How old a count of waiting jobs may be. */
+    private static final long COUNT_AGE_MS = 2_000;
+
+    private static final Pattern PENDING = Pattern.compile("\\{\"pending\":(\\d+)}");
     private static final int OK = 200;
     private static final int GONE = 410;
     private static final int NONE = 0;
@@ -106,7 +115,11 @@
             boolean repeated = random.nextInt(REPEATED_IN) == 0;
             int repeatAfterMs = random.nextInt(MAX_REPEAT_AFTER_MS);
             jobs.add(job);
-            submit(http, job, first);
+            if (job.givesUp()) {
+                submitOnce(http, job, first);
+            } else {
+                submit(http, job, first);
+            }
             if (job.accepted() && repeated) {
                 followUps.schedule(
                         () -> call(http, entries.get(first), "POST", job.id(), job.body()),
@@ -133,6 +146,30 @@
         }
     }
 
+    /** Submits as a caller that leaves early, and cancels the job at another entry if it may have been stored. */
+    private void submitOnce(HttpClient http, SoakJob job, int first) {
+        Answer answer = send(http, entries.get(first), "POST", job.id(), job.body(), GIVE_UP_TIMEOUT);
+        if (answer.status() != NOT_CONNECTED) {
+            job.answered(answer.status(), clock.nowMs());
+        }
+        if (!job.accepted() && !job.refused()) {
+            followUps.execute(() -> cancelUnconfirmed(http, job, first + 1));
+        }
+    }
+
+    private void cancelUnconfirmed(HttpClient http, SoakJob job, int first) {
+        job.cancelSent(clock.nowMs());
+        for (int i = first; i < first + CANCEL_ATTEMPTS; i++) {
+            int status = call(http, entries.get(i % entries.size()), "DELETE", job.id(), "")
+                    .status();
+            if (status == OK || status == GONE) {
+                job.cancelled(clock.nowMs());
+                return;
+            }
+            sleep(RETRY_MS);
+        }
+    }
+
     private void cancel(HttpClient http, SoakJob job) {
         job.cancelSent(clock.nowMs());
         for (int i = 0; i < CANCEL_ATTEMPTS; i++) {
@@ -153,6 +190,7 @@
                     checkState(job, callOwn(http, entry, "GET", job).body(), entry);
                 }
             }
+            checkCount(http, entry);
             sleep(ASK_MS);
         }
     }
@@ -171,6 +209,19 @@
         }
     }
 
+    private void checkCount(HttpClient http, String entry) {
+        long sentMs = clock.nowMs();
+        Answer answer = call(http, entry, "GET", "", "");
+        Matcher count = PENDING.matcher(answer.body());
+        if (answer.status() != OK || !count.matches()) {
+            return;
+        }
+        long waiting = SoakChecks.waiting(jobs, cluster.record(), sentMs - SoakChecks.VISIBLE_MS - COUNT_AGE_MS);
+        if (2 * Long.parseLong(count.group(1)) < waiting && isInTouch(entry, sentMs)) {
+            violations.add(entry + " gives " + answer.body() + " while " + waiting + " jobs have not begun");
+        }
+    }
+
     /** Calls for a job that was accepted, which an entry that is in touch must know. */
     private Answer callOwn(HttpClient http, String entry, String method, SoakJob job) {
         long sentMs = clock.nowMs();
@@ -184,7 +235,7 @@
 
     private Answer call(HttpClient http, String entry, String method, String id, String body) {
         long sentMs = clock.nowMs();
-        Answer answer = send(http, entry, method, id, body);
+        Answer answer = send(http, entry, method, id, body, CALL_TIMEOUT);
         if (!EXPECTED.contains(answer.status()) && answer.status() != GONE && isInTouch(entry, sentMs)) {
             violations.add(entry + " answered " + answer.status() + " to " + method + " " + id);
         }
@@ -195,10 +246,10 @@
         return faults.isCalm(entry, sentMs - SoakChecks.CONTACT_TIMEOUT_MS, clock.nowMs());
     }
 
-    private Answer send(HttpClient http, String entry, String method, String id, String body) {
+    private Answer send(HttpClient http, String entry, String method, String id, String body, Duration timeout) {
         HttpRequest request = HttpRequest.newBuilder(
                         URI.create("http://" + cluster.ingress(entry) + PlatformCluster.PREFIX + id))
-                .timeout(CALL_TIMEOUT)
+                .timeout(timeout)
                 .headers("Authorization", "Bearer " + PlatformCluster.KEY)
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
                 .build();
