Tests: comments that were cut by the formatter or said the wrong thing

PlatformPathTest.countsAJobAsWaitingUntilAWorkerHasStartedIt told of heartbeats, where the reason that its job waits is that it fits on no worker. No code changed.

--- a/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
@@ -57,9 +57,8 @@
         assertThat(next.orders("w1").runs()).hasSize(1);
     }
 
-    // Guards against a task that runs on after its job was cancelled: the leader had stored that it gave the run up,
-    // and
-    // stopped before it had stored the worker's orders.
+    // Guards against a task that runs on after its job was cancelled: the leader had stored that it gave the run
+    // up, and had not stored the worker's orders when it stopped.
     @Test
     void stopsARunThatWasGivenUpBeforeItsStopWasStored() {
         TaskRun run = new TaskRun(TaskId.of("a.0.0.0"), 1);
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/BatchAgentTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/BatchAgentTest.java
@@ -89,9 +89,8 @@
                 "i1", 1, sequence, pool, "zone", draining, new Resources(1_000, 1_000, 8), List.of(), "rack");
     }
 
-    // Guards against a worker that one heartbeat of another writer takes out of use for good: it named an unknown pool
-    // and
-    // a high number, so that all true ones counted as late (review/9).
+    // Guards against a worker that one heartbeat of another writer takes out of use for good: it named an unknown
+    // pool and a high number, so that all true ones counted as late (review/9).
     @Test
     @Timeout(30)
     void hearsItsWorkerBesideAnOddHeartbeatUnderItsName() throws Exception {
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/FillerPacerTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/FillerPacerTest.java
@@ -59,9 +59,8 @@
         assertThat(told).containsExactly(100, 100);
     }
 
-    // Guards against a filler that stays too fast for good: the worker carried out an order late, over newer ones, and
-    // the
-    // pace had reached 0, where it changes no more (the trial "pace" of the second review).
+    // Guards against a filler that stays too fast for good: the worker carried out an order late, over newer ones,
+    // and the pace had reached 0, where it changes no more (the trial "pace" of the second review).
     @Test
     void tellsAPaceAgainThatALateOrderMayHaveOverridden() {
         poll(10, 100);
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformPathTest.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformPathTest.java
@@ -85,7 +85,7 @@
                 .isEqualTo(410);
     }
 
-    // The entries have had a heartbeat with counts by the time at which a job runs.
+    // No worker has as many accelerators, so the job waits until it is cancelled.
     @Test
     void countsAJobAsWaitingUntilAWorkerHasStartedIt() throws Exception {
         String id = PlatformCluster.id(8);
