Review: ports of the scripts

Cause: the scripts took free ports at random; two processes could be given the same one before either had bound it, and the second ended with 1004. Change: no port is given twice, and scripts at the same time begin at different ones.

--- a/review/src3/Nodes3.java
+++ b/review/src3/Nodes3.java
@@ -7,13 +7,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Entries and agents of the project as separate processes, with the commands of the deploy file. */
 final class Nodes3 implements AutoCloseable {
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 10_000;
+    private static final int PORTS_EACH = 64;
     final Path root;
     final Path dir;
     final Log log;
@@ -34,10 +36,16 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.values().forEach(Process::destroyForcibly)));
     }
 
-    /** Returns a free port below those that the system gives to outgoing channels. */
+    private static int nextPort = FIRST_PORT + (int) (ProcessHandle.current().pid() * PORTS_EACH % PORTS);
+
+    /**
+     * Returns a free port below those that the system gives to outgoing channels. None is returned twice, and scripts that
+     * run at the same time begin at different ones, as a process takes its port only after it has started.
+     */
     static int freePort() throws Exception {
         while (true) {
-            int port = 20_000 + ThreadLocalRandom.current().nextInt(10_000);
+            int port = nextPort;
+            nextPort = FIRST_PORT + (port + 1 - FIRST_PORT) % PORTS;
             try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName(Web.IP))) {
                 return s.getLocalPort();
             } catch (BindException e) {
