--- a/review/src3/Advisor3.java
+++ b/review/Advisor3.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/review/src3/Case.java
+++ b/review/Case.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
--- a/review/src3/Checks.java
+++ b/review/Checks.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.util.List;
 
 /** What the runners saw of jobs. */
--- a/review/src3/FailingServers.java
+++ b/review/FailingServers.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.util.HashMap;
 import java.util.Map;
 
--- a/review/src3/LentGuarantee.java
+++ b/review/LentGuarantee.java
@@ -1,3 +1,5 @@
+package third;
+
 /** A tenant asks for its guarantee after another tenant's urgent job has taken what was idle. */
 final class LentGuarantee implements Case.Body {
     private static final long RECLAIM_MS = 2_900;
--- a/review/src3/Log.java
+++ b/review/Log.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/review/src3/ManySmall.java
+++ b/review/ManySmall.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.util.List;
 
 /** A large job of small subtasks comes beside another tenant's subtasks that last and may not all be away. */
--- a/review/src3/Nodes3.java
+++ b/review/Nodes3.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
--- a/review/src3/Proxy3.java
+++ b/review/Proxy3.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
--- a/review/src3/Runner3.java
+++ b/review/Runner3.java
@@ -1,3 +1,5 @@
+package third;
+
 import com.sun.net.httpserver.HttpServer;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/review/src3/SilentChannels.java
+++ b/review/SilentChannels.java
@@ -1,3 +1,5 @@
+package third;
+
 /** The open channels of one machine to the store fall silent; a route is added once the machine is in touch again. */
 final class SilentChannels implements Case.Body {
     private static final long CONTACT_MS = 3_000;
--- a/review/src3/Store3.java
+++ b/review/Store3.java
@@ -1,3 +1,5 @@
+package third;
+
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
--- a/review/src3/Web.java
+++ b/review/Web.java
@@ -1,3 +1,5 @@
+package third;
+
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
