Keep the tasks of a bounded number of occurrences

Cause: JobProgress created the tasks of all 302,400 occurrences that were due, and each pass looked at all of them, until the scheduler's thread of one leader after the other ended by a lack of memory. (That the processes lived on without it is a fault of its own.)

An occurrence that is done is closed: it takes no memory and no row, and the job's first row tells how many were opened and which of them are open. Restores, numbers of rows and the end of the job follow from it.

--- a/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BatchJob.java
@@ -59,7 +59,7 @@
             check(steps.get(i), i);
         }
         if (recurrence != null) {
-            check(recurrence, steps.stream().mapToLong(StepSpec::taskCount).sum());
+            check(recurrence, tasksPerOccurrence(steps));
         }
     }
 
@@ -108,6 +108,15 @@
         return new JobOwner(workspace, queue);
     }
 
+    private static long tasksPerOccurrence(List<StepSpec> steps) {
+        return steps.stream().mapToLong(StepSpec::taskCount).sum();
+    }
+
+    /** Returns the number of tasks of all steps of one occurrence. */
+    public long tasksPerOccurrence() {
+        return tasksPerOccurrence(steps);
+    }
+
     /** Returns how many times the steps run. */
     public int occurrences() {
         return recurrence == null ? 1 : recurrence.times();
--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -1,11 +1,15 @@
 package io.pollenreach.internal.batch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 
 import io.pollenreach.PollenreachException;
@@ -15,8 +19,8 @@
  * A job and the progress of its tasks.
  *
  * <p>Invariants: a step's tasks become ready only when all its preceding steps are done; the members
- * of a gang carry the same run number, failures and checkpoint; the phase of an ended job never changes. Not
- * thread-safe: confined to the scheduler's thread.
+ * of a gang carry the same run number, failures and checkpoint; the phase of an ended job never changes; an occurrence of a
+ * recurring job that is done takes no memory and no row. Not thread-safe: confined to the scheduler's thread.
  */
 public final class JobProgress {
     /** Is told of each change of a job's phase. */
@@ -30,11 +34,10 @@
     private final long sequence;
     private final long acceptedMs;
     private final long tasksPerOccurrence;
-    private final Map<Integer, List<List<TaskProgress>>> occurrences = new TreeMap<>();
+    private final OpenOccurrences occurrences;
     /** The stored rows by their numbers; empty for a job that never needs a second one. */
-    private Map<Integer, ProgressRow> storedRows = Map.of();
+    private Map<Long, ProgressRow> storedRows = Map.of();
 
-    private int firstMissingOccurrence;
     private JobPhase phase = JobPhase.QUEUED;
     private PhaseListener phaseListener = (job, before) -> {};
     private long endedMs;
@@ -51,7 +54,8 @@
         this.job = job;
         this.sequence = sequence;
         this.acceptedMs = acceptedMs;
-        tasksPerOccurrence = job.steps().stream().mapToLong(StepSpec::taskCount).sum();
+        tasksPerOccurrence = job.tasksPerOccurrence();
+        occurrences = new OpenOccurrences(job);
     }
 
     /**
@@ -67,19 +71,30 @@
     static JobProgress fromRows(
             BatchJob job, long sequence, Map<String, ProgressRow> rowsByKey, long acceptedMs, long nowMs) {
         JobProgress progress = new JobProgress(job, sequence, acceptedMs);
-        progress.phase = RequiredField.of(rowsByKey.get(job.id()), "the first row of progress")
-                .phase();
-        progress.endedMs = nowMs;
+        ProgressRow first = RequiredField.of(rowsByKey.get(job.id()), "the first row of progress");
         rowsByKey.forEach((key, row) -> RequiredField.of(row, key));
-        rowsByKey.values().forEach(row -> row.tasks().forEach(t -> progress.restoreTask(t, nowMs)));
+        progress.phase = first.phase();
+        progress.endedMs = nowMs;
+        Optional<ProgressRow.Occurrences> stored = Optional.ofNullable(first.occurrences());
+        stored.ifPresent(o -> progress.occurrences.restore(o, nowMs));
+        rowsByKey.values().forEach(row -> row.tasks().forEach(t -> progress.restoreTask(t, stored.isPresent(), nowMs)));
+        progress.occurrences.closeDone();
+        if (progress.mayNeedSeveralRows()) {
+            progress.storedRows = new TreeMap<>();
+            rowsByKey.forEach((key, row) -> ProgressRow.numberOf(key).ifPresent(n -> progress.storedRows.put(n, row)));
+        }
         return progress;
     }
 
-    private void restoreTask(ProgressRow.TaskRow t, long nowMs) {
+    private void restoreTask(ProgressRow.TaskRow t, boolean occurrencesKnown, long nowMs) {
         checkRange(job, t);
-        List<TaskProgress> step = createOccurrence(t.occurrence(), nowMs).get(t.step());
+        if (!occurrencesKnown) {
+            occurrences.restoreUpTo(t.occurrence(), nowMs);
+        }
         TaskId id = new TaskId(job.id(), t.occurrence(), t.step(), t.index());
-        step.set(t.index(), TaskProgress.fromRow(t, id, nowMs));
+        // A row of an occurrence that is done may be left if its removal was not stored.
+        occurrences.find(t.occurrence()).ifPresent(steps -> steps.get(t.step())
+                .set(t.index(), TaskProgress.fromRow(t, id, nowMs)));
     }
 
     private static void checkRange(BatchJob job, ProgressRow.TaskRow t) {
@@ -99,7 +114,7 @@
     /** Returns the rows that differ from those that were stored, by their keys, the first one in any case. */
     Map<String, ProgressRow> changedRows() {
         Map<String, ProgressRow> changed = new LinkedHashMap<>();
-        Map<Integer, ProgressRow> rows = rows();
+        Map<Long, ProgressRow> rows = rows();
         rows.forEach((number, row) -> {
             ProgressRow stored = storedRows.get(number);
             if (number == 0 || stored == null || !stored.tasks().equals(row.tasks())) {
@@ -109,38 +124,68 @@
         return changed;
     }
 
+    /** Returns the keys of stored rows whose tasks all belong to occurrences that are done. */
+    Set<String> outdatedKeys() {
+        Set<Long> outdated = new TreeSet<>(storedRows.keySet());
+        outdated.removeAll(rowNumbers());
+        return keys(outdated);
+    }
+
     /** Records that all changed rows were stored. */
     void committed() {
         // The first row is written with every change, so it need not be compared.
-        if (tasksPerOccurrence * job.occurrences() > ProgressRow.MAX_TASKS) {
+        if (mayNeedSeveralRows()) {
             storedRows = rows();
         }
     }
 
+    private boolean mayNeedSeveralRows() {
+        return tasksPerOccurrence * job.occurrences() > ProgressRow.MAX_TASKS;
+    }
+
     /** Returns the keys of all rows that may be stored for this job, the first one first. */
     List<String> rowKeys() {
-        return rows().keySet().stream().map(n -> ProgressRow.key(job.id(), n)).toList();
+        Set<Long> all = new TreeSet<>(storedRows.keySet());
+        all.addAll(rowNumbers());
+        return List.copyOf(keys(all));
+    }
+
+    private Set<String> keys(Set<Long> numbers) {
+        Set<String> keys = new LinkedHashSet<>();
+        numbers.forEach(n -> keys.add(ProgressRow.key(job.id(), n)));
+        return keys;
+    }
+
+    private Set<Long> rowNumbers() {
+        Set<Long> numbers = new HashSet<>();
+        numbers.add(0L);
+        tasks().filter(TaskProgress::wasPlaced).forEach(t -> numbers.add(rowOf(t.id())));
+        return numbers;
     }
 
     /** Returns the rows to store by their numbers, without empty ones but with the first one. */
-    private Map<Integer, ProgressRow> rows() {
-        Map<Integer, List<ProgressRow.TaskRow>> tasksByRow = new TreeMap<>();
-        tasksByRow.put(0, new ArrayList<>());
+    private Map<Long, ProgressRow> rows() {
+        Map<Long, List<ProgressRow.TaskRow>> tasksByRow = new TreeMap<>();
+        tasksByRow.put(0L, new ArrayList<>());
         tasks().filter(TaskProgress::wasPlaced).forEach(t -> tasksByRow
                 .computeIfAbsent(rowOf(t.id()), n -> new ArrayList<>())
                 .add(t.toRow()));
-        Map<Integer, ProgressRow> rows = new TreeMap<>();
-        tasksByRow.forEach(
-                (number, tasks) -> rows.put(number, new ProgressRow(phase, tasks, number == 0 ? job.owner() : null)));
+        Map<Long, ProgressRow> rows = new TreeMap<>();
+        tasksByRow.forEach((number, tasks) -> rows.put(
+                number,
+                number == 0
+                        ? new ProgressRow(
+                                phase, tasks, job.owner(), occurrences.toRow().orElse(null))
+                        : new ProgressRow(phase, tasks, null)));
         return rows;
     }
 
-    private int rowOf(TaskId id) {
+    private long rowOf(TaskId id) {
         long before = id.occurrence() * tasksPerOccurrence + id.index();
         for (StepSpec s : job.steps().subList(0, id.step())) {
             before += s.taskCount();
         }
-        return Math.toIntExact(before / ProgressRow.MAX_TASKS);
+        return before / ProgressRow.MAX_TASKS;
     }
 
     /** Returns the job as it was submitted. */
@@ -176,64 +221,52 @@
         return endedMs;
     }
 
+    /** Returns the tasks of the open occurrences. */
     Stream<TaskProgress> tasks() {
-        return occurrences.values().stream().flatMap(List::stream).flatMap(List::stream);
+        return occurrences.tasks();
+    }
+
+    /** Returns how many tasks the open occurrences have. */
+    long taskCount() {
+        return occurrences.taskCount();
     }
 
     StepSpec spec(TaskId id) {
         return job.steps().get(id.step());
     }
 
+    /** Returns the tasks of the step of a task whose occurrence is open. */
     List<TaskProgress> step(TaskId id) {
-        return occurrences.get(id.occurrence()).get(id.step());
+        return occurrences.find(id.occurrence()).orElseThrow().get(id.step());
     }
 
-    /** Returns the tasks of a step of the first occurrence; none before that was created. */
+    /** Returns the tasks of a step of the first occurrence; none while that is not open. */
     List<TaskProgress> stepTasks(int step) {
-        return occurrences.containsKey(0) ? occurrences.get(0).get(step) : List.of();
+        return occurrences.find(0).map(steps -> steps.get(step)).orElse(List.of());
     }
 
+    /** Finds a task of an open occurrence. */
     Optional<TaskProgress> find(TaskId id) {
-        List<List<TaskProgress>> steps = occurrences.get(id.occurrence());
-        if (steps == null
-                || id.step() >= steps.size()
-                || id.index() >= steps.get(id.step()).size()) {
-            return Optional.empty();
-        }
-        return Optional.of(steps.get(id.step()).get(id.index()));
-    }
-
-    /** Creates the tasks of every occurrence that is due; after a restore, earlier ones than the newest may lack them. */
-    void createDueOccurrences(long wallMs, long nowMs) {
-        while (occurrences.containsKey(firstMissingOccurrence)) {
-            firstMissingOccurrence++;
-        }
-        for (int k = firstMissingOccurrence; k < job.occurrences() && job.dueMs(k) <= wallMs; k++) {
-            createOccurrence(k, nowMs);
-        }
+        return occurrences
+                .find(id.occurrence())
+                .filter(steps -> id.step() < steps.size()
+                        && id.index() < steps.get(id.step()).size())
+                .map(steps -> steps.get(id.step()).get(id.index()));
     }
 
-    private List<List<TaskProgress>> createOccurrence(int occurrence, long nowMs) {
-        return occurrences.computeIfAbsent(occurrence, k -> {
-            List<List<TaskProgress>> steps = new ArrayList<>();
-            for (int s = 0; s < job.steps().size(); s++) {
-                List<TaskProgress> tasks = new ArrayList<>();
-                for (int i = 0; i < job.steps().get(s).taskCount(); i++) {
-                    tasks.add(new TaskProgress(new TaskId(job.id(), k, s, i), nowMs));
-                }
-                steps.add(tasks);
-            }
-            return steps;
-        });
+    /** Opens the occurrences that are due, as far as the budget allows. */
+    void openDueOccurrences(long wallMs, long nowMs, TaskBudget budget) {
+        occurrences.openDue(wallMs, nowMs, budget);
     }
 
     /** Returns the steps, as lists of tasks, whose predecessors are done and that are not done themselves. */
     List<List<TaskProgress>> readySteps() {
         List<List<TaskProgress>> ready = new ArrayList<>();
-        for (List<List<TaskProgress>> steps : occurrences.values()) {
+        for (List<List<TaskProgress>> steps : occurrences.steps()) {
             for (int s = 0; s < steps.size(); s++) {
-                boolean unblocked = job.steps().get(s).after().stream().allMatch(a -> done(steps.get(a)));
-                if (unblocked && !done(steps.get(s))) {
+                boolean unblocked =
+                        job.steps().get(s).after().stream().allMatch(a -> OpenOccurrences.isStepDone(steps.get(a)));
+                if (unblocked && !OpenOccurrences.isStepDone(steps.get(s))) {
                     ready.add(steps.get(s));
                 }
             }
@@ -241,10 +274,6 @@
         return ready;
     }
 
-    private static boolean done(List<TaskProgress> tasks) {
-        return tasks.stream().allMatch(t -> t.state() == TaskProgress.State.DONE);
-    }
-
     /**
      * Records that a task failed at its start; tells whether all such failures of the job were on this worker.
      * Otherwise the job itself is the likely cause.
@@ -274,10 +303,10 @@
         return true;
     }
 
-    void completeWhenDone(long nowMs) {
-        boolean allDone = occurrences.size() == job.occurrences()
-                && occurrences.values().stream().flatMap(List::stream).allMatch(JobProgress::done);
-        if (allDone) {
+    /** Closes an occurrence if it is done, and completes the job if all are. */
+    void completeWhenDone(int occurrence, long nowMs) {
+        occurrences.closeIfDone(occurrence);
+        if (occurrences.allDone()) {
             end(JobPhase.COMPLETED, nowMs);
         }
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -143,8 +143,9 @@
 
     private List<Unit> units() {
         Map<String, Integer> urgentNeed = new HashMap<>();
+        TaskBudget budget = TaskBudget.of(schedulerState.activeJobs());
         for (JobProgress job : schedulerState.activeJobs()) {
-            job.createDueOccurrences(wallMs, nowMs);
+            job.openDueOccurrences(wallMs, nowMs, budget);
             boolean guaranteed = false;
             if (job.job().priority() == 0) {
                 String workspace = job.job().workspace();
--- a/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/ProgressRow.java
@@ -1,8 +1,10 @@
 package io.pollenreach.internal.batch;
 
 import java.util.List;
+import java.util.Optional;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.google.common.primitives.Longs;
 
 /**
  * A stored row of a job's progress; only the leader writes it.
@@ -13,8 +15,10 @@
  * @param phase the job's phase when the row was written; only that of the job's first row is kept up to date
  * @param tasks the tasks of this row that were placed at least once
  * @param owner who the job belongs to; null in rows after the first and in those of earlier versions
+ * @param occurrences which occurrences of a recurring job are open; null in rows after the first, in those of jobs that do
+ *     not recur, and in those of earlier versions
  */
-public record ProgressRow(JobPhase phase, List<TaskRow> tasks, JobOwner owner) {
+public record ProgressRow(JobPhase phase, List<TaskRow> tasks, JobOwner owner, Occurrences occurrences) {
     /** Tasks whose progress one row holds. */
     public static final int MAX_TASKS = 250;
 
@@ -26,17 +30,42 @@
         tasks = tasks == null ? List.of() : List.copyOf(tasks);
     }
 
+    /** Creates a row without occurrences. */
+    public ProgressRow(JobPhase phase, List<TaskRow> tasks, JobOwner owner) {
+        this(phase, tasks, owner, null);
+    }
+
     /** Returns the key of a job's row with a number from 0. */
-    static String key(String job, int number) {
+    static String key(String job, long number) {
         return number == 0 ? job : job + SEPARATOR + number;
     }
 
+    /** Returns the number of the row with a key; empty if no row of progress has such a key. */
+    static Optional<Long> numberOf(String key) {
+        int end = key.indexOf(SEPARATOR);
+        return end < 0 ? Optional.of(0L) : Optional.ofNullable(Longs.tryParse(key.substring(end + 1)));
+    }
+
     /** Returns the id of the job that a row belongs to. */
     public static String jobOf(String key) {
         int end = key.indexOf(SEPARATOR);
         return end < 0 ? key : key.substring(0, end);
     }
 
+    /**
+     * Which occurrences of a recurring job are open: all others that have been opened are done.
+     *
+     * <p>Immutable.
+     *
+     * @param opened how many occurrences have been opened, in their order
+     * @param open the numbers of those that are open
+     */
+    public record Occurrences(int opened, List<Integer> open) {
+        public Occurrences {
+            open = open == null ? List.of() : List.copyOf(open);
+        }
+    }
+
     /**
      * The stored progress of one task.
      *
--- a/core/src/main/java/io/pollenreach/internal/batch/RunEnds.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/RunEnds.java
@@ -95,7 +95,7 @@
         } else {
             t.finish();
         }
-        job.completeWhenDone(nowMs);
+        job.completeWhenDone(t.id().occurrence(), nowMs);
         if (job.phase().ended()) {
             state.advice().removeJob(job.job().id());
             log.logDecision(
--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -448,13 +448,17 @@
     /** Returns the changes that must be stored before agents may act on them. */
     public StateChanges changes() {
         Map<String, Map<String, ProgressRow>> rows = new LinkedHashMap<>();
-        changedJobs.forEach(id -> rows.put(id, jobs.get(id).changedRows()));
+        Set<String> outdated = new LinkedHashSet<>();
+        for (String id : changedJobs) {
+            rows.put(id, jobs.get(id).changedRows());
+            outdated.addAll(jobs.get(id).outdatedKeys());
+        }
         Map<String, WorkerOrders> orders = new LinkedHashMap<>();
         changedWorkers.stream()
                 .map(workers::get)
                 .filter(WorkerAllocations::ordersKnown)
                 .forEach(w -> orders.put(w.name(), w.toOrders()));
-        return new StateChanges(rows, orders);
+        return new StateChanges(rows, outdated, orders);
     }
 
     /**
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerFixture.java
@@ -301,6 +301,7 @@
         changes.jobs()
                 .values()
                 .forEach(rows -> rows.forEach((key, row) -> progress.put(key, roundTrip(row, ProgressRow.class))));
+        changes.outdated().forEach(progress::remove);
         if (storingOrders) {
             changes.workers().forEach((name, row) -> orders.put(name, roundTrip(row, WorkerOrders.class)));
         }
@@ -352,4 +353,14 @@
     ProgressRow progress(String job) {
         return progress.get(job);
     }
+
+    /** Returns the keys of all stored rows of progress. */
+    Set<String> progressKeys() {
+        return Set.copyOf(progress.keySet());
+    }
+
+    /** Replaces a stored row of progress, as later schedulers read it. */
+    void replaceProgress(String key, ProgressRow row) {
+        progress.put(key, row);
+    }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/StateTransactions.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/StateTransactions.java
@@ -47,6 +47,7 @@
         Batch batch = new Batch();
         leaderRows.accept(batch.current);
         changes.jobs().values().forEach(batch::addProgress);
+        changes.outdated().forEach(batch::removeProgress);
         changes.workers().forEach(batch::addOrders);
         batch.full.add(batch.current);
         return batch.full;
@@ -69,6 +70,11 @@
             });
         }
 
+        private void removeProgress(String key) {
+            startNextUnlessFits(1, 0);
+            current.remove(Tables.PROGRESS, key);
+        }
+
         private void addOrders(String agent, WorkerOrders orders) {
             byte[] value = RowCodec.toValue(orders);
             Optional<Transaction.Condition> condition =
@@ -81,7 +87,7 @@
         private void startNextUnlessFits(int entries, long bytes) {
             boolean fits = current.size() + entries <= StateStore.MAX_ENTRIES
                     && current.bytes() + bytes <= StateStore.MAX_BYTES;
-            if (!fits && !current.writes().isEmpty()) {
+            if (!fits && current.size() > current.conditions().size()) {
                 full.add(current);
                 current = newTransaction.get();
                 conditions.clear();
