Refuse jobs whose tasks the scheduler could not keep

Change: the leader publishes how many tasks the active jobs of each workspace have, in the row of the backlog. Entries refuse by it what TaskBudget doesn't admit, before anything is written: 429 with 4012, and Retry-After unless the job alone is too large for a workspace. A workspace that has few tasks is always admitted. What is accepted while the numbers are not known waits in the scheduler, which keeps its own count.

Tests: AdmissionPolicyTest.refusesJobsWhoseTasksTheSchedulerCannotKeep and refusesAJobThatNoWorkspaceMayHaveWithoutATimeToReturn, BacklogCounterTest.countsTheTasksOfEachWorkspace; without the check in AdmissionPolicy the first two fail. LeaderWatchTest.publishesNoCountsBeforeItsStateIsWhole now expects the counts of tasks too: an empty backlog became one with the task of its job.

--- a/core/src/main/java/io/pollenreach/ResultCode.java
+++ b/core/src/main/java/io/pollenreach/ResultCode.java
@@ -42,6 +42,7 @@
     ALREADY_CANCELLED(4009, 409, "The job was cancelled before it was accepted; it never runs."),
     TOO_MANY_CANCELS(4010, 429, "The workspace cancelled too many ids that have no job; nothing was cancelled."),
     BACKLOG_TOO_LONG(4011, 429, "The backlog is too long for the job to end in useful time; nothing was accepted."),
+    TOO_MANY_TASKS(4012, 429, "The scheduler has no room for the job's tasks; nothing was accepted."),
     CONFLICT(5001, 409, "The resource was changed by someone else; read it and try again."),
     EXISTS(5002, 409, "The resource exists already with another content."),
     IN_USE(5003, 409, "The resource is still in use."),
--- a/core/src/main/java/io/pollenreach/internal/batch/BacklogCounter.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/BacklogCounter.java
@@ -42,13 +42,18 @@
     }
 
     /**
-     * Counts the work at a time by the scheduler's monotonic clock and by the wall clock; nothing while all workers are
-     * alike, since then no objective counts and nothing is to be refused.
+     * Counts the work at a time by the scheduler's monotonic clock and by the wall clock; only the numbers of tasks while all
+     * workers are alike, since then no objective counts.
      */
     public BacklogSnapshot count(long nowMs, long wallMs) {
+        TaskBudget tasks = new TaskBudget();
+        // A job that the scheduler has not opened yet will need its tasks as well.
+        state.activeJobs()
+                .forEach(j -> tasks.take(
+                        j.job().workspace(), Math.max(j.taskCount(), j.job().tasksPerOccurrence())));
         JobTiming.Context context = state.timingContext(nowMs, wallMs);
         if (!context.uneven()) {
-            return new BacklogSnapshot(List.of(), Map.of());
+            return new BacklogSnapshot(List.of(), Map.of(), tasks.taken(), largest(tasks.takenByWorkspace()));
         }
         Map<String, Sums> sumsByPool = new TreeMap<>();
         state.workers().all().forEach(w -> addWorker(w.report(), sumsByPool));
@@ -64,7 +69,14 @@
                 .limit(BacklogSnapshot.MAX_POOLS)
                 .map(e -> toBacklog(e.getKey(), e.getValue()))
                 .toList();
-        return new BacklogSnapshot(pools, urgent);
+        return new BacklogSnapshot(pools, urgent, tasks.taken(), largest(tasks.takenByWorkspace()));
+    }
+
+    private static Map<String, Long> largest(Map<String, Long> byWorkspace) {
+        return byWorkspace.entrySet().stream()
+                .sorted(Map.Entry.<String, Long>comparingByValue().reversed().thenComparing(Map.Entry.comparingByKey()))
+                .limit(BacklogSnapshot.MAX_WORKSPACES)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
     private void addWorker(WorkerReport report, Map<String, Sums> sumsByPool) {
--- a/core/src/main/java/io/pollenreach/internal/intake/AdmissionPolicy.java
+++ b/core/src/main/java/io/pollenreach/internal/intake/AdmissionPolicy.java
@@ -7,6 +7,7 @@
 import io.pollenreach.internal.batch.BatchJob;
 import io.pollenreach.internal.batch.Resources;
 import io.pollenreach.internal.batch.StepSpec;
+import io.pollenreach.internal.batch.TaskBudget;
 import io.pollenreach.internal.intake.AdmissionVerdict.Reason;
 import io.pollenreach.internal.intake.BacklogSnapshot.PoolBacklog;
 import io.pollenreach.internal.routing.RefusalPacer;
@@ -15,8 +16,8 @@
  * Decides whether a job can still be of use to its caller, or is refused at once.
  *
  * <p>Invariants: whatever is in doubt is admitted; a job within its workspace's guarantee, a recurring or a long-running
- * one, and one without an objective are never refused for load; a workspace with at most its share of the waiting work
- * is refused only what is past use. The expected wait is the shortest possible one: it supposes that work never leaves
+ * one, and one without an objective are refused for load only if the scheduler could not keep their tasks; a workspace with at
+ * most its share of the waiting work is refused only what is past use. The expected wait is the shortest possible one: it supposes that work never leaves
  * room unused, and counts workers that take no tasks for now. Stateless, so safe for use by many threads.
  */
 public final class AdmissionPolicy {
@@ -90,6 +91,13 @@
 
     /** Decides on a job. */
     public static AdmissionVerdict decide(BatchJob job, Circumstances at) {
+        if (!at.backlog().hasRoomFor(job)) {
+            boolean everAdmitted = TaskBudget.admits(0, 0, job.tasksPerOccurrence());
+            OptionalInt retryAfterS = everAdmitted
+                    ? RefusalPacer.spread(job.id(), RefusalPacer.MIN_DELAY_S, RefusalPacer.MAX_DELAY_S)
+                    : OptionalInt.empty();
+            return verdict(Reason.TOO_MANY_TASKS, 0, 0, retryAfterS);
+        }
         PoolBacklog pool = at.backlog().pool(job.pool()).orElse(null);
         if (pool == null || pool.capacity().equals(Resources.NONE)) {
             return AdmissionVerdict.of(Reason.UNKNOWN_BACKLOG);
--- a/core/src/main/java/io/pollenreach/internal/intake/AdmissionVerdict.java
+++ b/core/src/main/java/io/pollenreach/internal/intake/AdmissionVerdict.java
@@ -36,7 +36,9 @@
         /** Room comes too late, even if work goes faster than expected. */
         PAST_USE(ResultCode.BACKLOG_TOO_LONG),
         /** Room is expected too late, and the workspace has more than its share of the work that waits. */
-        BEYOND_SHARE(ResultCode.BACKLOG_TOO_LONG);
+        BEYOND_SHARE(ResultCode.BACKLOG_TOO_LONG),
+        /** The scheduler has no room for the job's tasks beside those of the workspace and of all. */
+        TOO_MANY_TASKS(ResultCode.TOO_MANY_TASKS);
 
         private final ResultCode code;
 
--- a/core/src/main/java/io/pollenreach/internal/intake/BacklogSnapshot.java
+++ b/core/src/main/java/io/pollenreach/internal/intake/BacklogSnapshot.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.Maps;
 import io.pollenreach.internal.batch.BatchJob;
 import io.pollenreach.internal.batch.Resources;
+import io.pollenreach.internal.batch.TaskBudget;
 
 /**
  * The work that waits or runs, and the capacity for it, as the leader publishes them.
@@ -17,8 +18,11 @@
  * @param pools the pools that have workers
  * @param urgentAccelerators the accelerators that the active jobs of priority 0 of each workspace need; none for a
  *     workspace that is not named
+ * @param tasks how many tasks the active jobs have, those of open occurrences of recurring ones
+ * @param tasksByWorkspace the part of them of each workspace; at most {@link #MAX_WORKSPACES}, those with most
  */
-public record BacklogSnapshot(List<PoolBacklog> pools, Map<String, Long> urgentAccelerators) {
+public record BacklogSnapshot(
+        List<PoolBacklog> pools, Map<String, Long> urgentAccelerators, long tasks, Map<String, Long> tasksByWorkspace) {
     /** Most pools that are published; jobs of other pools are always admitted. */
     public static final int MAX_POOLS = 16;
 
@@ -35,6 +39,12 @@
     public BacklogSnapshot {
         pools = pools == null ? List.of() : List.copyOf(pools);
         urgentAccelerators = urgentAccelerators == null ? Map.of() : Map.copyOf(urgentAccelerators);
+        tasksByWorkspace = tasksByWorkspace == null ? Map.of() : Map.copyOf(tasksByWorkspace);
+    }
+
+    /** Creates a snapshot without tasks. */
+    public BacklogSnapshot(List<PoolBacklog> pools, Map<String, Long> urgentAccelerators) {
+        this(pools, urgentAccelerators, 0, Map.of());
     }
 
     /**
@@ -139,12 +149,21 @@
         List<PoolBacklog> next = pools.stream()
                 .map(p -> p.pool().equals(job.pool()) ? p.with(job) : p)
                 .toList();
-        return new BacklogSnapshot(next, urgent);
+        Map<String, Long> byWorkspace = new HashMap<>(tasksByWorkspace);
+        byWorkspace.merge(job.workspace(), job.tasksPerOccurrence(), Long::sum);
+        return new BacklogSnapshot(next, urgent, tasks + job.tasksPerOccurrence(), byWorkspace);
+    }
+
+    /** Tells whether the budget of tasks has room for a job. */
+    boolean hasRoomFor(BatchJob job) {
+        return TaskBudget.admits(tasksByWorkspace.getOrDefault(job.workspace(), 0L), tasks, job.tasksPerOccurrence());
     }
 
     /** Tells whether all figures are possible ones; a row may have been written by another version. */
     public boolean isValid() {
         return pools.stream().allMatch(PoolBacklog::isValid)
-                && urgentAccelerators.values().stream().allMatch(n -> n >= 0);
+                && urgentAccelerators.values().stream().allMatch(n -> n >= 0)
+                && tasks >= 0
+                && tasksByWorkspace.values().stream().allMatch(n -> n >= 0);
     }
 }
--- a/core/src/test/java/io/pollenreach/internal/batch/BacklogCounterTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/BacklogCounterTest.java
@@ -28,6 +28,18 @@
         assertThat(new BacklogCounter(alike.state()).count(0, 0).pools()).isEmpty();
     }
 
+    @Test
+    void countsTheTasksOfEachWorkspace() throws IOException {
+        SchedulerFixture alike = new SchedulerFixture();
+        alike.worker("w1", "r1");
+        alike.submit(Jobs.job("a").step(Jobs.step(3, 8)));
+        alike.submit(Jobs.job("b").workspace("others").step(Jobs.step(1, 8)).step(Jobs.after(Jobs.step(4, 8), 0)));
+
+        BacklogSnapshot backlog = count(alike);
+        assertThat(backlog.tasks()).isEqualTo(8);
+        assertThat(backlog.tasksByWorkspace()).isEqualTo(Map.of("team", 3L, "others", 5L));
+    }
+
     private static BacklogSnapshot count(SchedulerFixture scheduler) throws IOException {
         BacklogSnapshot counted = new BacklogCounter(scheduler.state())
                 .count(scheduler.nowMs(), SchedulerFixture.WALL_MS + scheduler.nowMs());
--- a/core/src/test/java/io/pollenreach/internal/intake/AdmissionPolicyTest.java
+++ b/core/src/test/java/io/pollenreach/internal/intake/AdmissionPolicyTest.java
@@ -216,4 +216,33 @@
         PoolBacklog absurd = new PoolBacklog("pool", new Resources(-5, 1, 1), WORKER, Map.of());
         assertThat(publish(absurd, Map.of(), 0)).isFalse();
     }
+
+    private static BatchJob wide(String id, String workspace, int tasks) {
+        StepSpec step = StepSpec.builder(tasks, new Resources(1, 1, 0)).build();
+        return new BatchJob(id, "q", workspace, "pool", 1, 3, "", List.of(step, step), null, false);
+    }
+
+    // review/11: the tasks of one workspace took the memory of the scheduler of all
+    @Test
+    void refusesJobsWhoseTasksTheSchedulerCannotKeep() {
+        published.publish(new BacklogSnapshot(List.of(), Map.of(), 60_000, Map.of("large", 45_000L)), 0);
+
+        AdmissionVerdict refused = decide(wide("a", "large", 10), 0);
+        assertThat(refused.reason()).isEqualTo(Reason.TOO_MANY_TASKS);
+        assertThat(refused.retryAfterS()).isPresent();
+        assertThat(decide(wide("b", "other", 10_000), 0).isRefusal()).isFalse();
+        assertThat(decide(wide("c", "other", 10_000), 0).isRefusal()).isTrue();
+        assertThat(decide(wide("d", "third", 5_000), 0).isRefusal()).isFalse();
+    }
+
+    @Test
+    void refusesAJobThatNoWorkspaceMayHaveWithoutATimeToReturn() {
+        published.publish(new BacklogSnapshot(List.of(), Map.of()), 0);
+        StepSpec step = StepSpec.builder(10_000, new Resources(1, 1, 0)).build();
+        List<StepSpec> six = List.of(step, step, step, step, step, step);
+        BatchJob huge = new BatchJob("a", "q", "team", "pool", 1, 3, "", six, null, false);
+
+        assertThat(decide(huge, 0).reason()).isEqualTo(Reason.TOO_MANY_TASKS);
+        assertThat(decide(huge, 0).retryAfterS()).isEmpty();
+    }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/intake/AdmissionGate.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/intake/AdmissionGate.java
@@ -10,6 +10,7 @@
 import io.pollenreach.daemon.internal.store.StateStore;
 import io.pollenreach.daemon.internal.store.Tables;
 import io.pollenreach.internal.batch.BatchJob;
+import io.pollenreach.internal.batch.TaskBudget;
 import io.pollenreach.internal.intake.AdmissionControl;
 import io.pollenreach.internal.intake.AdmissionVerdict;
 
@@ -77,10 +78,19 @@
                 decision.backlogAgeMs(),
                 "retryAfterS",
                 verdict.retryAfterS().isPresent() ? verdict.retryAfterS().getAsInt() : "none");
-        String detail = verdict.reason() == AdmissionVerdict.Reason.NEVER_FITS
-                ? "a task of job " + job.id() + " needs more than any worker of pool " + job.pool() + " has had"
-                : "job " + job.id() + " would wait about " + verdict.expectedWaitMs() + " ms for room in pool "
+        return PollenreachException.refusal(code, detail(job, verdict), verdict.retryAfterS());
+    }
+
+    private static String detail(BatchJob job, AdmissionVerdict verdict) {
+        switch (verdict.reason()) {
+            case NEVER_FITS:
+                return "a task of job " + job.id() + " needs more than any worker of pool " + job.pool() + " has had";
+            case TOO_MANY_TASKS:
+                return "job " + job.id() + " has " + job.tasksPerOccurrence() + " tasks; the scheduler keeps "
+                        + TaskBudget.MAX_TASKS + " of all workspaces, and each may have as many as all leave unused";
+            default:
+                return "job " + job.id() + " would wait about " + verdict.expectedWaitMs() + " ms for room in pool "
                         + job.pool() + ", and is of no use after a wait of " + verdict.leftMs() + " ms";
-        return PollenreachException.refusal(code, detail, verdict.retryAfterS());
+        }
     }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/LeaderWatchTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/LeaderWatchTest.java
@@ -96,7 +96,7 @@
         assertThat(store.get(Tables.LEADER, Tables.BACKLOG)
                         .join()
                         .flatMap(r -> RowCodec.fromRow(r, BacklogSnapshot.class)))
-                .contains(new BacklogSnapshot(List.of(), Map.of()));
+                .contains(new BacklogSnapshot(List.of(), Map.of(), 1, Map.of("team", 1L)));
     }
 
     private static Rows backlog(long version, String json) {
