End a process with any of its threads

Cause: Scheduler.run caught RuntimeException only, and an Error ended its thread without any consequence. The same held for the settings reloader, the log writer, the watches of the store's tables, event loops, and periodic work, which an executor never does again once it has failed. An interrupt ended the scheduler, the reloader and the log writer silently.

Change: FatalErrors ends the process when a thread ends by an exception, when work fails that has to go on, or when an event loop ends that is needed (EventLoops); whoever supervises the process starts it again. WorkThread replaces the executors, so that periodic work goes on after a failure. An overflow of the stack counts as a failure, since it comes from the input.

Evidence: LostThreadTest runs an entry and an agent as real processes and ends scheduler or work-agent, settings, log-writer and the event loops in turn. Without FatalErrors.install() both of its tests fail at the first thread; its first run also found the silent end by an interrupt.

--- a/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/agent/AgentDaemon.java
@@ -1,6 +1,5 @@
 package io.pollenreach.daemon.internal.agent;
 
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.ToDoubleFunction;
 
@@ -13,6 +12,7 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.http.AdminServer;
 import io.pollenreach.daemon.internal.http.HttpCaller;
+import io.pollenreach.daemon.internal.process.WorkThread;
 import io.pollenreach.daemon.internal.rpc.RpcThreads;
 import io.pollenreach.daemon.internal.services.HttpTaskRuntime;
 import io.pollenreach.daemon.internal.settings.AgentSettings;
@@ -35,7 +35,7 @@
     private static final int RPC_THREADS = 1;
     private static final int HTTP_THREADS = 1;
 
-    private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, AgentDaemon::newTimerThread);
+    private final WorkThread timer = new WorkThread("agent");
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final AtomicBoolean closed = new AtomicBoolean();
     private final RpcThreads threads = new RpcThreads(RPC_THREADS);
@@ -44,16 +44,9 @@
     private AdminServer admin;
 
     private AgentDaemon(AgentSettings settings) throws Exception {
-        timer.setRemoveOnCancelPolicy(true);
         http = new HttpCaller(HTTP_THREADS, Math.max(1, settings.connections()));
     }
 
-    private static Thread newTimerThread(Runnable work) {
-        Thread thread = new Thread(work, "agent");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /**
      * Starts an agent; its calls and periodic work run on threads of its own.
      *
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/cli/DaemonCommand.java
@@ -12,6 +12,7 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
 import io.pollenreach.daemon.internal.log.LogSetup;
+import io.pollenreach.daemon.internal.process.FatalErrors;
 import io.pollenreach.daemon.internal.settings.HangupSignal;
 import io.pollenreach.daemon.internal.settings.ReloadableDaemon;
 import io.pollenreach.daemon.internal.settings.SettingsReloader;
@@ -43,6 +44,7 @@
             throw new UsageException("--log-level must be debug, info or warning.");
         }
         LogSetup.start(level);
+        FatalErrors.install();
         SettingsReloader<T> reloader = new SettingsReloader<>(Path.of(settings), this::load, liveSettings(), hangup);
         ReloadableDaemon<T> daemon = start(reloader.settings());
         reloader.start(daemon);
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/entry/EntryDaemon.java
@@ -3,12 +3,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
-import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -17,6 +14,7 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.http.HttpCaller;
 import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.process.WorkThread;
 import io.pollenreach.daemon.internal.rpc.RpcNode;
 import io.pollenreach.daemon.internal.services.GuardedTable;
 import io.pollenreach.daemon.internal.services.HttpObjectStore;
@@ -74,10 +72,10 @@
     private final JobController jobs;
     private final JobArchive archive;
     private final RequestController requests;
-    private final ScheduledExecutorService planningExecutor = singleThread("planning");
-    private final ScheduledExecutorService heartbeatExecutor = singleThread("beating");
-    private final ScheduledExecutorService timerExecutor = singleThread("timing");
-    private final ScheduledExecutorService previewExecutor = singleThread("previewing");
+    private final ScheduledExecutorService planningExecutor = new WorkThread("planning");
+    private final ScheduledExecutorService heartbeatExecutor = new WorkThread("beating");
+    private final ScheduledExecutorService timerExecutor = new WorkThread("timing");
+    private final ScheduledExecutorService previewExecutor = new WorkThread("previewing");
     private final ApiServer api;
     private volatile boolean joined;
     private volatile PeerHandler handler;
@@ -276,13 +274,4 @@
         http.close();
         EVENTS.info("entry-stopped", "entry", settings.id(), "cutOff", openAtDeadline);
     }
-
-    private static ScheduledExecutorService singleThread(String name) {
-        ThreadFactory factory =
-                new ThreadFactoryBuilder().setNameFormat(name).setDaemon(true).build();
-        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, factory);
-        // Timers of requests that were answered early must not keep their bodies.
-        executor.setRemoveOnCancelPolicy(true);
-        return executor;
-    }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpCaller.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
+import io.pollenreach.daemon.internal.process.EventLoops;
 import ratpack.exec.ExecController;
 import ratpack.exec.internal.DefaultExecController;
 import ratpack.http.Status;
@@ -40,10 +41,13 @@
      */
     private final EventLoop loop;
 
+    private volatile boolean closed;
+
     /** Creates a caller with its own threads. */
     public HttpCaller(int threads, int connectionsPerHost) throws Exception {
         exec = new DefaultExecController(threads);
         loop = exec.getEventLoopGroup().next();
+        EventLoops.require("http-calls", exec.getEventLoopGroup(), () -> closed);
         client = HttpClient.of(s -> s.poolSize(connectionsPerHost)
                 .poolQueueSize(connectionsPerHost * 64)
                 .byteBufAllocator(PooledByteBufAllocator.DEFAULT)
@@ -116,6 +120,7 @@
 
     @Override
     public void close() {
+        closed = true;
         client.close();
         exec.close();
     }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/http/HttpListener.java
@@ -7,6 +7,8 @@
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.process.EventLoops;
+import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
 import ratpack.http.Request;
@@ -30,6 +32,7 @@
 
     private final AtomicInteger open = new AtomicInteger();
     private volatile boolean closing;
+    private volatile boolean closed;
     private RatpackServer server;
 
     private HttpListener() {}
@@ -49,6 +52,11 @@
             ListenerConfig config = ListenerConfig.of(address, threads, maxBodyBytes);
             listener.server = RatpackServer.start(spec ->
                     spec.serverConfig(config).handlers(chain -> chain.all(ctx -> listener.handle(ctx, answerer))));
+            listener.server
+                    .getRegistry()
+                    .flatMap(r -> r.maybeGet(ExecController.class))
+                    .ifPresent(exec ->
+                            EventLoops.require("listener-" + address, exec.getEventLoopGroup(), () -> listener.closed));
             return listener;
         } catch (Exception e) {
             String detail = "cannot listen on " + address + ": " + e.getMessage();
@@ -121,6 +129,7 @@
 
     @Override
     public void close() {
+        closed = true;
         stop(server);
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/log/BoundedHandler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/log/BoundedHandler.java
@@ -65,7 +65,7 @@
                 unwritten.addAndGet(-lines);
             }
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            throw new IllegalStateException("the log writer was interrupted", e);
         }
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/rpc/RpcThreads.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/rpc/RpcThreads.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.pollenreach.daemon.internal.process.EventLoops;
 
 /**
  * The threads and buffers of one or more nodes.
@@ -21,10 +22,12 @@
 
     private final EventLoopGroup group;
     private final ByteBufAllocator allocator;
+    private volatile boolean closed;
 
     /** Creates the threads. */
     public RpcThreads(int threads) {
         group = new NioEventLoopGroup(threads, new DefaultThreadFactory("rpc", true));
+        EventLoops.require("rpc", group, () -> closed);
         allocator = new PooledByteBufAllocator(true, threads, threads, PAGE_BYTES, CHUNK_ORDER);
     }
 
@@ -38,6 +41,7 @@
 
     @Override
     public void close() {
+        closed = true;
         group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 }
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/Scheduler.java
@@ -22,7 +22,8 @@
  *
  * <p>Invariant: every write of a scheduler depends on the version of the term under which it was elected, so that one
  * that was replaced, or whose earlier write is still in flight, changes nothing any more. If the outcome of a
- * write is unknown, it campaigns again and reloads the whole state. Thread-safe; one thread does all the work.
+ * write is unknown, it campaigns again and reloads the whole state. Other errors end the thread, and with it the process.
+ * Thread-safe; one thread does all the work.
  */
 public final class Scheduler implements AutoCloseable {
     /** Interval at which the leader writes a heartbeat, in milliseconds. */
@@ -110,9 +111,9 @@
                     Thread.sleep(ELECTION_CHECK_INTERVAL_MS);
                 }
             } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            } catch (RuntimeException e) {
+                // Nobody interrupts the thread of a running scheduler.
+                throw new IllegalStateException("the scheduler was interrupted", e);
+            } catch (RuntimeException | StackOverflowError e) {
                 term = null;
                 PollenreachException failure = PollenreachException.of(e);
                 EVENTS.warn(
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/settings/SettingsReloader.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/settings/SettingsReloader.java
@@ -48,6 +48,7 @@
     private byte[] content;
     private volatile T settings;
     private volatile Thread thread;
+    private volatile boolean closed;
 
     /**
      * Reads the settings for the first time; fails as the loader does.
@@ -87,7 +88,9 @@
                 check(signalled, daemon);
             }
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            if (!closed) {
+                throw new IllegalStateException("the settings reloader was interrupted", e);
+            }
         }
     }
 
@@ -190,6 +193,7 @@
 
     @Override
     public void close() {
+        closed = true;
         Thread t = thread;
         if (t != null) {
             t.interrupt();
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/store/TableWatch.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/store/TableWatch.java
@@ -9,13 +9,15 @@
 import io.pollenreach.PollenreachException;
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.process.FatalErrors;
 
 /**
  * Follows one table: reads it whole, then takes each change.
  *
  * <p>Invariants: the listener is called by one thread at a time, with rows in the store's order; after a gap in the
  * history the whole table is read again and handed over as a snapshot. {@link #freshAsOfMs()} is a time at which the
- * store surely had nothing newer than what the listener was given. Safe for use by many threads.
+ * store surely had nothing newer than what the listener was given. It goes on until it is closed or the process ends. Safe for use
+ * by many threads.
  */
 public final class TableWatch implements AutoCloseable {
     /** Takes what a watch finds. */
@@ -76,17 +78,19 @@
             return;
         }
         long sentMs = clock.nowMs();
-        call(() -> store.list(table)).whenComplete((rows, t) -> {
-            if (t == null) {
-                t = deliver(() -> listener.snapshot(rows));
-            }
+        call(() -> store.list(table)).whenComplete(FatalErrors.required(part(), (rows, failure) -> {
+            Throwable t = failure == null ? deliver(() -> listener.snapshot(rows)) : failure;
             if (t != null) {
                 later(t, this::read);
                 return;
             }
             succeeded(sentMs);
             follow(rows.version());
-        });
+        }));
+    }
+
+    private String part() {
+        return "watch-" + table;
     }
 
     private void follow(long after) {
@@ -94,10 +98,8 @@
             return;
         }
         long sentMs = clock.nowMs();
-        call(() -> store.changes(table, after, waitMs)).whenComplete((rows, t) -> {
-            if (t == null) {
-                t = deliver(() -> listener.changes(rows));
-            }
+        call(() -> store.changes(table, after, waitMs)).whenComplete(FatalErrors.required(part(), (rows, failure) -> {
+            Throwable t = failure == null ? deliver(() -> listener.changes(rows)) : failure;
             if (t == null) {
                 succeeded(sentMs);
                 follow(Math.max(after, rows.version()));
@@ -107,7 +109,7 @@
             } else {
                 later(t, () -> follow(after));
             }
-        });
+        }));
     }
 
     // A call that cannot even be made, for instance to an address that makes no sense, must not end the watch.
@@ -152,7 +154,7 @@
         }
         long capMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << Math.min(failures, 4));
         long delayMs = ThreadLocalRandom.current().nextLong(capMs / 2, capMs + 1);
-        CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS).execute(next);
+        CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS).execute(FatalErrors.required(part(), next));
     }
 
     /** Returns when the last successful call was sent, by the watch's clock; very early when there was none. */
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
 import io.pollenreach.Clock;
@@ -11,6 +10,8 @@
 import io.pollenreach.ResultCode;
 import io.pollenreach.daemon.internal.evacuation.EvacuationGuard;
 import io.pollenreach.daemon.internal.log.Events;
+import io.pollenreach.daemon.internal.process.FatalErrors;
+import io.pollenreach.daemon.internal.process.WorkThread;
 import io.pollenreach.daemon.internal.store.RowCodec;
 import io.pollenreach.daemon.internal.store.Rows;
 import io.pollenreach.daemon.internal.store.StateStore;
@@ -58,7 +59,7 @@
     private final TaskRunner runner;
     private final Clock clock;
     private final Reporter reporter;
-    private final ScheduledThreadPoolExecutor thread;
+    private final WorkThread thread = new WorkThread("work-agent");
     private final WorkerIdentification identification;
     private final OrderSender orders;
     /** What the worker says of itself; null while no worker is known. */
@@ -97,12 +98,6 @@
         claims = new Claims(name, store, clock, leaseMs);
         this.runner = runner;
         this.clock = clock;
-        thread = new ScheduledThreadPoolExecutor(1, r -> {
-            Thread t = new Thread(r, "work-agent");
-            t.setDaemon(true);
-            return t;
-        });
-        thread.setRemoveOnCancelPolicy(true);
         AgentContext context = new Context();
         reporter = new Reporter(name, claims, clock, leaseMs, context);
         orders = new OrderSender(runner, new JobPayloads(store), evacuations, clock, reporter, context);
@@ -425,8 +420,11 @@
     private void guarded(Runnable work) {
         try {
             work.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             EVENTS.warn("agent-failed", "error", String.valueOf(e), "at", e.getStackTrace()[0]);
+        } catch (Error e) {
+            FatalErrors.end("work-agent", e);
+            throw e;
         }
     }
 
--- a/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/Daemon.java
@@ -19,6 +19,7 @@
 final class Daemon implements AutoCloseable {
     private static final String MAIN = "io.pollenreach.daemon.Main";
     private static final String PLATFORM_MAIN = "io.pollenreach.platform.Main";
+    private static final String STOPPABLE_MAIN = StoppableThreads.class.getName();
     private static final String ANY_PORT = "0";
     private static final long KILL_WAIT_MS = 5_000;
     /** Several times what a process needs until it handles SIGHUP, in milliseconds. */
@@ -70,16 +71,42 @@
     /** Creates a program of the users' platform, with settings in its format. */
     static Daemon onPlatform(String program, String name, Path directory, List<String> settingsLines)
             throws IOException {
+        return onPlatform(List.of(PLATFORM_MAIN, program, ANY_PORT), name, directory, settingsLines);
+    }
+
+    /** Creates a program as above whose threads {@link #stopThread} can stop. */
+    static Daemon onPlatformWithStoppableThreads(
+            String program, String name, Path directory, List<String> settingsLines) throws IOException {
+        String order = threadToStop(directory, name).toString();
+        return onPlatform(List.of(STOPPABLE_MAIN, order, program, ANY_PORT), name, directory, settingsLines);
+    }
+
+    private static Daemon onPlatform(List<String> command, String name, Path directory, List<String> settingsLines)
+            throws IOException {
         Path settings = directory.resolve(name + ".conf");
         return new Daemon(
                 name,
                 directory,
                 settings,
                 settingsLines,
-                List.of(PLATFORM_MAIN, program, ANY_PORT),
+                command,
                 Map.of("POLLENREACH_NODE_FILE", settings.toString()));
     }
 
+    private static Path threadToStop(Path directory, String name) {
+        return directory.resolve(name + ".thread-to-stop");
+    }
+
+    /** Ends one of its threads by an error. */
+    void stopThread(String thread) throws IOException {
+        Files.writeString(threadToStop(settings.getParent(), name), thread);
+    }
+
+    /** Returns its exit status, after its end. */
+    int exitStatus() {
+        return process.exitValue();
+    }
+
     String name() {
         return name;
     }
--- a/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
+++ b/systemtest/src/test/java/io/pollenreach/systemtest/PlatformCluster.java
@@ -69,6 +69,7 @@
     private final Map<String, String> zones = new LinkedHashMap<>();
     private final Map<String, FaultyLink> links = new LinkedHashMap<>();
     private final OptionalLong linkSeed;
+    private boolean stoppableThreads;
     private int configVersion;
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -88,6 +89,13 @@
         return start(new PlatformCluster(name, OptionalLong.of(linkSeed)), entries, workers);
     }
 
+    /** Starts a cluster as above, in which threads of the processes can be stopped. */
+    static PlatformCluster startWithStoppableThreads(String name, int entries, int workers) throws Exception {
+        PlatformCluster c = new PlatformCluster(name, OptionalLong.empty());
+        c.stoppableThreads = true;
+        return start(c, entries, workers);
+    }
+
     private static PlatformCluster start(PlatformCluster c, int entries, int workers) throws Exception {
         try {
             c.configure(1, List.of(KEY));
@@ -168,7 +176,7 @@
         List<String> lines = common(name, ZONE_OF_ENTRIES);
         lines.add("listen-addresses.front=" + front);
         lines.add("listen-addresses.readiness=" + Ports.freeAddress());
-        start(Daemon.onPlatform("entry", name, directory, lines));
+        start("entry", name, lines);
     }
 
     private void addWorker(String name, String rack, String zone) throws Exception {
@@ -180,10 +188,13 @@
         List<String> lines = common(name, zone);
         lines.add("listen-addresses.control=" + heartbeats);
         lines.add("app=" + IP + ":" + worker.port());
-        start(Daemon.onPlatform("agent", name, directory, lines));
+        start("agent", name, lines);
     }
 
-    private void start(Daemon daemon) throws Exception {
+    private void start(String program, String name, List<String> settings) throws Exception {
+        Daemon daemon = stoppableThreads
+                ? Daemon.onPlatformWithStoppableThreads(program, name, directory, settings)
+                : Daemon.onPlatform(program, name, directory, settings);
         daemons.put(daemon.name(), daemon);
         daemon.start();
     }
