Forget the tasks of jobs whose end is stored

Change: once the end of a job is stored, its tasks and the copies of its rows are dropped; the keys of its rows are kept for their removal.

Evidence: EndedJobsTest.keepNoTasks failed before with all 600 tasks of a cancelled job; the rows, stops and take-over of such a job are checked beside it.

--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -20,7 +20,8 @@
  *
  * <p>Invariants: a step's tasks become ready only when all its preceding steps are done; the members
  * of a gang carry the same run number, failures and checkpoint; the phase of an ended job never changes; an occurrence of a
- * recurring job that is done takes no memory and no row. Not thread-safe: confined to the scheduler's thread.
+ * recurring job that is done takes no memory and no row, and the tasks of an ended job none once its end is stored. Not
+ * thread-safe: confined to the scheduler's thread.
  */
 public final class JobProgress {
     /** Is told of each change of a job's phase. */
@@ -37,6 +38,8 @@
     private final OpenOccurrences occurrences;
     /** The stored rows by their numbers; empty for a job that never needs a second one. */
     private Map<Long, ProgressRow> storedRows = Map.of();
+    /** The keys of the stored rows, once the end of the job was stored. */
+    private List<String> endedRowKeys = List.of();
 
     private JobPhase phase = JobPhase.QUEUED;
     private PhaseListener phaseListener = (job, before) -> {};
@@ -131,10 +134,14 @@
         return keys(outdated);
     }
 
-    /** Records that all changed rows were stored. */
+    /** Records that all changed rows were stored; the tasks of a job that has ended are not needed any more. */
     void committed() {
-        // The first row is written with every change, so it need not be compared.
-        if (mayNeedSeveralRows()) {
+        if (phase.ended()) {
+            endedRowKeys = rowKeys();
+            storedRows = Map.of();
+            occurrences.closeAll();
+        } else if (mayNeedSeveralRows()) {
+            // The first row is written with every change, so it need not be compared.
             storedRows = rows();
         }
     }
@@ -145,6 +152,9 @@
 
     /** Returns the keys of all rows that may be stored for this job, the first one first. */
     List<String> rowKeys() {
+        if (!endedRowKeys.isEmpty()) {
+            return endedRowKeys;
+        }
         Set<Long> all = new TreeSet<>(storedRows.keySet());
         all.addAll(rowNumbers());
         return List.copyOf(keys(all));
--- a/core/src/main/java/io/pollenreach/internal/batch/OpenOccurrences.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/OpenOccurrences.java
@@ -137,6 +137,11 @@
         }
     }
 
+    /** Closes all occurrences, done or not. */
+    void closeAll() {
+        open.clear();
+    }
+
     /** Tells whether all occurrences are done. */
     boolean allDone() {
         return opened == job.occurrences() && open.values().stream().allMatch(OpenOccurrences::isDone);
