Look each step of a job over once a pass

Cause: whether a step is done was found out anew for each step that comes after it.

The results are those of before, which the tests of steps cover.

--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -273,10 +273,12 @@
     List<List<TaskProgress>> readySteps() {
         List<List<TaskProgress>> ready = new ArrayList<>();
         for (List<List<TaskProgress>> steps : occurrences.steps()) {
-            for (int s = 0; s < steps.size(); s++) {
-                boolean unblocked =
-                        job.steps().get(s).after().stream().allMatch(a -> OpenOccurrences.isStepDone(steps.get(a)));
-                if (unblocked && !OpenOccurrences.isStepDone(steps.get(s))) {
+            // Many steps may come after one that has many tasks, so each is looked over once.
+            boolean[] done = new boolean[steps.size()];
+            for (int s = 0; s < done.length; s++) {
+                done[s] = OpenOccurrences.isStepDone(steps.get(s));
+                boolean unblocked = job.steps().get(s).after().stream().allMatch(a -> done[a]);
+                if (unblocked && !done[s]) {
                     ready.add(steps.get(s));
                 }
             }
