Ask the advisor one thing at a time

Cause: the leader sent the queries of all steps at once, each for up to 30 workers. The advisor handles one call of a machine at a time, so tickets waited there beyond the part of their validity in which they are used; each such step was queried again at the end of the queue, which never got shorter.

Change: AdviceCache has one query in flight. The next one follows its answer, for the step that placement decides on first, and names the workers that placement would use, with more alternatives the more were refused. What cannot be placed anyway is not asked for. The chosen workers are kept free while the advice is expected soon.

Tests replaced, as strict as before: SchedulerStateTest, RecoveryTest and RowSizesTest took all pending queries at once; they now take one after the other, and check that there is none beside it.

--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -1,7 +1,6 @@
 package io.pollenreach.internal.batch;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -88,6 +87,7 @@
     private final SpeedPreference speedPreference;
     private final Forecast forecast;
     private final Preemption preemption;
+    private final AdvisedWorkers advisedWorkers;
     private final UnitOrder order;
     private final Set<TaskId> tasksHoldingResources;
     /** Whether there is a worker that may have been ordered to stop runs of which only their ends would be known. */
@@ -123,6 +123,7 @@
         JobTiming.Context context = schedulerState.timingContext(nowMs, wallMs);
         order = schedulerState.unitOrders().begin(context);
         preemption = new Preemption(schedulerState, freeCapacity, speedPreference, context);
+        advisedWorkers = new AdvisedWorkers(schedulerState.advice(), nowMs);
         tasksHoldingResources = schedulerState.workers().all().stream()
                 .flatMap(WorkerAllocations::heldTasks)
                 .collect(Collectors.toSet());
@@ -176,14 +177,14 @@
         if (blocked && (claims == MAX_CLAIMS || unclaimable.contains(key.get()))) {
             return;
         }
-        List<WorkerAllocations> eligible = allowedByAdvisor(unit, workerChoice.eligible(unit));
+        List<WorkerAllocations> eligible = advisedWorkers.withoutRefused(unit, workerChoice.eligible(unit));
         // A gang whose last run is still being stopped keeps room, so that less urgent tasks do not take what it
         // leaves.
         if (blocked || !unit.tasks().stream().allMatch(this::isReady)) {
             claim(unit, key, eligible);
             return;
         }
-        if (!placeOrReserve(unit, eligible)) {
+        if (!placeOrReserve(unit, advisedWorkers.withTicket(unit, eligible)) && !awaitsAdvice(unit, key, eligible)) {
             key.ifPresent(unplaceable::add);
             claim(unit, key, eligible);
         }
@@ -273,29 +274,36 @@
     }
 
     /**
-     * Returns the workers that the queue's advisor allows; requests advice on others if the tasks do not fit on
-     * those.
+     * Requests advice on the workers on which a unit would be placed now, and keeps them free for it if the advice is expected
+     * soon. Tells whether there are such workers.
      */
-    private List<WorkerAllocations> allowedByAdvisor(Unit unit, List<WorkerAllocations> eligible) {
-        if (!unit.job().job().advised()) {
-            return eligible;
-        }
-        StepId step = StepId.of(unit.first());
-        List<WorkerAllocations> allowed = eligible.stream()
-                .filter(w -> schedulerState
-                        .advice()
-                        .ticket(step, w.report().instance(), nowMs)
-                        .isPresent())
-                .toList();
-        if (freeCapacity.fit(unit.tasks(), unit.spec(), allowed, false).isEmpty()) {
-            List<String> candidates = eligible.stream()
-                    .filter(w -> unit.spec().occupied().fitsIn(w.report().capacity()))
-                    .sorted(Comparator.comparingLong(w -> untilFitsMs(unit, w)))
-                    .map(w -> w.report().instance())
-                    .toList();
-            schedulerState.advice().requestAdvice(step, candidates, nowMs);
+    private boolean awaitsAdvice(Unit unit, Optional<FitKey> key, List<WorkerAllocations> eligible) {
+        if (!AdvisedWorkers.needsAdvice(unit)) {
+            return false;
         }
-        return allowed;
+        Optional<List<FreeCapacity.Assignment>> chosen = chooseWithoutTickets(unit, eligible);
+        chosen.ifPresent(c -> {
+            if (advisedWorkers.request(unit, c, eligible, w -> untilFitsMs(unit, w))) {
+                reserve(unit, c);
+            } else {
+                // The other tasks of the step cannot be placed in this pass either.
+                key.ifPresent(unplaceable::add);
+                key.ifPresent(unclaimable::add);
+            }
+        });
+        return chosen.isPresent();
+    }
+
+    private Optional<List<FreeCapacity.Assignment>> chooseWithoutTickets(Unit unit, List<WorkerAllocations> eligible) {
+        Collection<WorkerAllocations> near = WorkerChoice.nearData(unit, eligible);
+        boolean oneRack = WorkerChoice.requiresOneRack(unit);
+        boolean anyRack = WorkerChoice.needsLocality(unit) && workerChoice.mayUseAnyRack(unit);
+        return speedPreference
+                .fit(freeCapacity, unit, near, oneRack)
+                .or(() -> preemption
+                        .find(unit, near, oneRack, workerChoice.distanceCostCoreMs(unit), w -> untilFitsMs(unit, w))
+                        .map(Reclaim.Plan::assignments))
+                .or(() -> anyRack ? speedPreference.fit(freeCapacity, unit, eligible, false) : Optional.empty());
     }
 
     /**
@@ -458,7 +466,7 @@
         if (claimed.isEmpty() || key.filter(unfitting::contains).isPresent()) {
             return Optional.empty();
         }
-        List<WorkerAllocations> allowed = allowedByAdvisor(unit, workerChoice.eligible(unit));
+        List<WorkerAllocations> allowed = advisedWorkers.withTicket(unit, workerChoice.eligible(unit));
         boolean anyRack = workerChoice.mayUseAnyRack(unit);
         Collection<WorkerAllocations> workers = anyRack ? allowed : WorkerChoice.nearData(unit, allowed);
         Optional<List<FreeCapacity.Assignment>> fit =
--- a/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/RecoveryTest.java
@@ -98,19 +98,24 @@
                 .advised()
                 .recurring(2, SchedulerFixture.WALL_MS, 0)
                 .step(Jobs.step(1, 1)));
-        AdviceCache.Query later = fixture.state().advice().pollQueries().stream()
-                .filter(q -> q.step().occurrence() == 1)
-                .findFirst()
-                .orElseThrow();
-        fixture.state().advice().recordAdvice(later, Map.of("w2", "ticket"), 1_000, 0);
+        AdviceCache advice = fixture.state().advice();
+        AdviceCache.Query first = advice.pollQuery(0).orElseThrow();
+        assertThat(first.step().occurrence()).isZero();
+        advice.recordAdvice(first, Map.of(), 1_000, 0, 0);
+        fixture.runPass(0);
+        AdviceCache.Query later = advice.pollQuery(0).orElseThrow();
+        assertThat(later.step().occurrence()).isEqualTo(1);
+        advice.recordAdvice(later, Map.of("w2", "ticket"), 1_000, 0, 0);
         fixture.runPass(10);
         fixture.end("w2", 1, "a.1.0.0", 1, EndKind.DONE);
 
         SchedulerFixture next = fixture.successor();
 
-        assertThat(next.state().advice().pollQueries())
-                .extracting(q -> q.step().occurrence())
-                .containsExactly(0);
+        AdviceCache.Query again = next.state().advice().pollQuery(next.nowMs()).orElseThrow();
+        assertThat(again.step().occurrence()).isZero();
+        next.state().advice().recordAdvice(again, Map.of(), 1_000, 0, 0);
+        next.runPass(0);
+        assertThat(next.state().advice().pollQuery(next.nowMs())).isEmpty();
         assertThat(next.progress("a").phase()).isEqualTo(JobPhase.RUNNING);
     }
 
--- a/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
+++ b/core/src/test/java/io/pollenreach/internal/batch/SchedulerStateTest.java
@@ -393,12 +393,12 @@
         fixture.worker("w1", "r1");
         fixture.worker("w2", "r1");
         fixture.submit(Jobs.job("a").advised().step(Jobs.step(1, 1)));
-        List<AdviceCache.Query> questions = fixture.state().advice().pollQueries();
-        assertThat(questions).singleElement().satisfies(q -> assertThat(q.workers())
-                .containsExactlyInAnyOrder("w1", "w2"));
+        AdviceCache.Query question = fixture.state().advice().pollQuery(0).orElseThrow();
+        assertThat(question.workers()).containsExactlyInAnyOrder("w1", "w2");
+        assertThat(fixture.state().advice().pollQuery(0)).isEmpty();
         assertThat(fixture.orders("w1").runs()).isEmpty();
 
-        fixture.state().advice().recordAdvice(questions.get(0), Map.of("w2", "ticket"), 1_000, 0);
+        fixture.state().advice().recordAdvice(question, Map.of("w2", "ticket"), 1_000, 0, 0);
         fixture.runPass(10);
 
         assertThat(fixture.orders("w1").runs()).isEmpty();
@@ -410,11 +410,11 @@
         fixture.worker("w1", "r1");
         fixture.submit(Jobs.job("a").advised().step(Jobs.step(1, 1)));
         AdviceCache advice = fixture.state().advice();
-        advice.recordAdvice(advice.pollQueries().get(0), Map.of("w1", "old"), 1_000, 0);
+        advice.recordAdvice(advice.pollQuery(0).orElseThrow(), Map.of("w1", "old"), 1_000, 0, 0);
 
         fixture.runPass(1_000);
         assertThat(fixture.orders("w1").runs()).isEmpty();
-        advice.recordAdvice(advice.pollQueries().get(0), Map.of("w1", "new"), 1_000, 1_000);
+        advice.recordAdvice(advice.pollQuery(1_000).orElseThrow(), Map.of("w1", "new"), 1_000, 1_000, 1_000);
         fixture.runPass(0);
 
         assertThat(fixture.orders("w1").runs()).extracting(r -> r.ticket()).containsExactly("new");
@@ -425,11 +425,11 @@
         fixture.worker("w1", "r1");
         fixture.submit(Jobs.job("a").advised().step(Jobs.step(1, 1)));
         AdviceCache advice = fixture.state().advice();
-        advice.recordAdvice(advice.pollQueries().get(0), Map.of(), 1_000, 0);
+        advice.recordAdvice(advice.pollQuery(0).orElseThrow(), Map.of(), 1_000, 0, 0);
 
         fixture.runPass(5_000);
 
-        assertThat(advice.pollQueries()).isEmpty();
+        assertThat(advice.pollQuery(5_000)).isEmpty();
     }
 
     // Guards against wasting attempts on a worker that fails whatever it starts, as each of three urgent jobs did
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/AdviceRequests.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/scheduler/AdviceRequests.java
@@ -29,9 +29,9 @@
         this.inbox = inbox;
     }
 
-    /** Sends the queries that are pending. */
+    /** Sends the next query, if one is due. */
     void send() {
-        state.advice().pollQueries().forEach(this::send);
+        state.advice().pollQuery(clock.nowMs()).ifPresent(this::send);
     }
 
     private void send(AdviceCache.Query query) {
@@ -44,7 +44,7 @@
         long nowMs = clock.nowMs();
         if (t == null) {
             state.requestPlacement();
-            state.advice().recordAdvice(query, advice.ticketByWorker(), advice.validMs(), requestedMs);
+            state.advice().recordAdvice(query, advice.ticketByWorker(), advice.validMs(), requestedMs, nowMs);
             EVENTS.info(
                     "advice-taken",
                     "step",
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/RowSizesTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/scheduler/RowSizesTest.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 
 import io.pollenreach.daemon.internal.store.MemoryStore;
@@ -50,13 +51,16 @@
             for (int i = 1 + random.nextInt(20); i > 0; i--) {
                 state.accept(job(round + "-" + i, random), ++version, nowMs);
             }
-            for (AdviceCache.Query q : state.advice().pollQueries()) {
-                Map<String, String> tickets = new HashMap<>();
-                q.workers().forEach(w -> tickets.put(w, text(random, MAX_TICKET_CHARS)));
-                state.advice().recordAdvice(q, tickets, 60_000, nowMs);
-            }
             nowMs += 100;
             state.plan(nowMs, nowMs);
+            Optional<AdviceCache.Query> query = state.advice().pollQuery(nowMs);
+            while (query.isPresent()) {
+                Map<String, String> tickets = new HashMap<>();
+                query.get().workers().forEach(w -> tickets.put(w, text(random, MAX_TICKET_CHARS)));
+                state.advice().recordAdvice(query.get(), tickets, 60_000, nowMs, nowMs);
+                state.plan(nowMs, nowMs);
+                query = state.advice().pollQuery(nowMs);
+            }
             checkAndStore();
             orders.forEach((worker, o) -> reportRunsAndEnds(worker, o, random));
             checkAndStore();
