Take guaranteed accelerators back from urgent work of other workspaces

Cause: only runs of less urgent jobs could be stopped. Work of priority 0 beyond its workspace's guarantee is borrowed too.

Change: GuaranteeShares tells, from the jobs alone, which occurrences of jobs of priority 0 their guarantees cover, and how many accelerators the rest has borrowed. A covered unit that would wait for over a second may stop (VictimScope) less urgent runs, then borrowed ones, as many as their workspace has borrowed, then any run of priority 0 that is not covered. Covered runs with accelerators are never stopped, and what was stopped waits behind what it was stopped for, so that no two workspaces stop each other by turns. The need of a workspace is summed in 64 bits; as an int it overflowed, and jobs far beyond a guarantee counted as within it.

--- a/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/JobProgress.java
@@ -241,6 +241,16 @@
         return occurrences.taskCount();
     }
 
+    /** Returns the numbers of the open occurrences, in their order. */
+    Set<Integer> openOccurrences() {
+        return occurrences.numbers();
+    }
+
+    /** Returns the number of the first occurrence that has not been opened. */
+    int nextOccurrence() {
+        return occurrences.opened();
+    }
+
     StepSpec spec(TaskId id) {
         return job.steps().get(id.step());
     }
--- a/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/PlacementPass.java
@@ -78,7 +78,7 @@
 
     private final SchedulerState schedulerState;
     private final long nowMs;
-    private final long wallMs;
+    private final GuaranteeShares guaranteeShares;
     private final FreeCapacity freeCapacity;
     /** The capacity of the workers without their runs, less what was claimed or reclaimed in this pass. */
     private final FreeCapacity capacityAfterRelease;
@@ -111,7 +111,8 @@
     PlacementPass(SchedulerState schedulerState, long nowMs, long wallMs) {
         this.schedulerState = schedulerState;
         this.nowMs = nowMs;
-        this.wallMs = wallMs;
+        openDueOccurrences(schedulerState.activeJobs(), nowMs, wallMs);
+        guaranteeShares = new GuaranteeShares(schedulerState.activeJobs(), schedulerState::guarantee);
         freeCapacity = new FreeCapacity(schedulerState.workers().all(), WorkerAllocations::free);
         capacityAfterRelease =
                 new FreeCapacity(schedulerState.workers().all(), w -> w.report().capacity());
@@ -122,7 +123,7 @@
         forecast = new Forecast(schedulerState, nowMs);
         JobTiming.Context context = schedulerState.timingContext(nowMs, wallMs);
         order = schedulerState.unitOrders().begin(context);
-        preemption = new Preemption(schedulerState, freeCapacity, speedPreference, context);
+        preemption = new Preemption(schedulerState, guaranteeShares, freeCapacity, speedPreference, context);
         advisedWorkers = new AdvisedWorkers(schedulerState.advice(), nowMs);
         tasksHoldingResources = schedulerState.workers().all().stream()
                 .flatMap(WorkerAllocations::heldTasks)
@@ -131,6 +132,11 @@
         quiet = schedulerState.activeJobs().stream().noneMatch(j -> nowMs - j.acceptedMs() < QUIET_MS);
     }
 
+    private static void openDueOccurrences(Collection<JobProgress> jobs, long nowMs, long wallMs) {
+        TaskBudget budget = TaskBudget.of(jobs);
+        jobs.forEach(j -> j.openDueOccurrences(wallMs, nowMs, budget));
+    }
+
     void run() {
         List<Unit> units = units();
         units.forEach(this::place);
@@ -143,23 +149,15 @@
     }
 
     private List<Unit> units() {
-        Map<String, Integer> urgentNeed = new HashMap<>();
-        TaskBudget budget = TaskBudget.of(schedulerState.activeJobs());
         for (JobProgress job : schedulerState.activeJobs()) {
-            job.openDueOccurrences(wallMs, nowMs, budget);
-            boolean guaranteed = false;
-            if (job.job().priority() == 0) {
-                String workspace = job.job().workspace();
-                int need = urgentNeed.merge(workspace, job.job().accelerators(), Integer::sum);
-                guaranteed = need <= schedulerState.guarantee(workspace);
-            }
             for (List<TaskProgress> step : job.readySteps()) {
-                boolean gang = job.spec(step.get(0).id()).gang();
+                TaskId first = step.get(0).id();
+                boolean gang = job.spec(first).gang();
                 List<TaskProgress> waiting = step.stream()
                         .filter(t -> t.state() == TaskProgress.State.WAITING && (gang || isReady(t)))
                         .toList();
                 if (!waiting.isEmpty() && (!gang || waiting.size() == step.size())) {
-                    order.add(job, waiting, guaranteed);
+                    order.add(job, waiting, guaranteeShares.covers(job, first.occurrence()));
                 }
             }
         }
--- a/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/Reclaim.java
@@ -4,15 +4,17 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
 /**
  * Selects the runs to preempt for more urgent tasks with the least lost work.
  *
- * <p>Only runs of less urgent jobs are preempted; a member of a gang counts with the work of its whole gang. Not
+ * <p>Only runs within a {@link VictimScope} are preempted; a member of a gang counts with the work of its whole gang. Not
  * thread-safe.
  */
 final class Reclaim {
@@ -36,18 +38,27 @@
     private final FreeCapacity freeCapacity;
     private final long nowMs;
     private final SpeedClasses speedClasses;
-    private final Map<WorkerAllocations, Map<Integer, List<TaskProgress>>> preemptibleByPriority = new HashMap<>();
+    private final GuaranteeShares shares;
+    private final Map<Target, Map<WorkerAllocations, List<TaskProgress>>> preemptible = new HashMap<>();
+    /** What the workspaces have borrowed; empty while that was not needed. */
+    private Optional<Map<String, Long>> borrowed = Optional.empty();
+
     private final ToDoubleFunction<TaskProgress> weight;
     private long workersExamined;
 
+    /** For whom capacity is freed: the priority, and which runs may be stopped. Immutable. */
+    record Target(int priority, VictimScope scope) {}
+
     /** Creates a search; {@code weight} returns how much the lost work of a task counts, infinite if it may not be lost. */
     Reclaim(
             Map<String, JobProgress> jobs,
+            GuaranteeShares shares,
             FreeCapacity freeCapacity,
             long nowMs,
             SpeedClasses speedClasses,
             ToDoubleFunction<TaskProgress> weight) {
         this.jobs = jobs;
+        this.shares = shares;
         this.freeCapacity = freeCapacity;
         this.nowMs = nowMs;
         this.speedClasses = speedClasses;
@@ -60,19 +71,19 @@
     Optional<Plan> find(
             List<TaskProgress> tasks,
             StepSpec spec,
-            int priority,
+            Target target,
             Collection<WorkerAllocations> workers,
             boolean oneRack) {
         return FreeCapacity.groups(workers, oneRack).stream()
-                .map(g -> planForGroup(tasks, spec, priority, g))
+                .map(g -> planForGroup(tasks, spec, target, g))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(Plan::lostCoreMs));
     }
 
     private Optional<Plan> planForGroup(
-            List<TaskProgress> tasks, StepSpec spec, int priority, List<WorkerAllocations> group) {
+            List<TaskProgress> tasks, StepSpec spec, Target target, List<WorkerAllocations> group) {
         VictimSelection selection =
-                new VictimSelection(this, spec, priority, group, tasks.get(0).id());
+                new VictimSelection(this, spec, target, group, tasks.get(0).id());
         List<FreeCapacity.Assignment> chosen = new ArrayList<>();
         for (TaskProgress task : tasks) {
             workersExamined += group.size();
@@ -91,7 +102,8 @@
 
     /** Forgets what was computed of the workers' runs, after some were stopped. */
     void invalidateAll() {
-        preemptibleByPriority.clear();
+        preemptible.clear();
+        borrowed = Optional.empty();
     }
 
     /** Returns the order of a worker among the speed classes of its pool, the slowest first. */
@@ -104,19 +116,18 @@
         return freeCapacity.of(w).plus(w.heldByRecentStops(nowMs, MAX_EXPECTED_STOP_MS));
     }
 
-    /** Returns the tasks on a worker that a job of the given priority may preempt, those with the least work first. */
-    List<TaskProgress> preemptible(WorkerAllocations w, int priority) {
-        return preemptibleByPriority
-                .computeIfAbsent(w, x -> new HashMap<>())
-                .computeIfAbsent(priority, p -> findPreemptible(w, p));
+    /** Returns the tasks on a worker that may be preempted, those with the least work first. */
+    List<TaskProgress> preemptible(WorkerAllocations w, Target target) {
+        return preemptible.computeIfAbsent(target, x -> new HashMap<>()).computeIfAbsent(w, x -> find(w, target));
     }
 
-    private List<TaskProgress> findPreemptible(WorkerAllocations w, int priority) {
+    private List<TaskProgress> find(WorkerAllocations w, Target target) {
         List<TaskProgress> found = new ArrayList<>();
         for (TaskRun run : w.runs()) {
             JobProgress job = jobs.get(run.task().job());
-            if (job != null && job.job().priority() > priority) {
+            if (job != null) {
                 job.find(run.task())
+                        .filter(t -> target.scope().includes(job, t, target.priority(), shares))
                         .filter(t -> weight.applyAsDouble(t) < Double.POSITIVE_INFINITY)
                         .ifPresent(found::add);
             }
@@ -125,6 +136,35 @@
         return found;
     }
 
+    /** Tells whether a task may be preempted in addition to the selected ones without more than its workspace has borrowed. */
+    boolean isWithinBorrowed(TaskProgress t, Collection<TaskProgress> selected) {
+        JobProgress job = jobs.get(t.id().job());
+        if (job.job().priority() > 0) {
+            return true;
+        }
+        Set<TaskProgress> stopped = new HashSet<>(withGang(t));
+        selected.forEach(s -> stopped.addAll(withGang(s)));
+        String workspace = job.job().workspace();
+        long accelerators = stopped.stream()
+                .filter(s -> s.state() == TaskProgress.State.PLACED)
+                .filter(s -> isUrgentOf(workspace, s))
+                .mapToLong(s -> spec(s).need().accelerators())
+                .sum();
+        if (borrowed.isEmpty()) {
+            borrowed = Optional.of(shares.borrowedByWorkspace());
+        }
+        return accelerators <= borrowed.get().getOrDefault(workspace, 0L);
+    }
+
+    private boolean isUrgentOf(String workspace, TaskProgress t) {
+        BatchJob job = jobs.get(t.id().job()).job();
+        return job.priority() == 0 && job.workspace().equals(workspace);
+    }
+
+    private List<TaskProgress> withGang(TaskProgress t) {
+        return spec(t).gang() ? step(t) : List.of(t);
+    }
+
     /** Tells whether a task may be interrupted in addition to the selected ones, under the limit of its step. */
     boolean isInterruptible(TaskProgress t, Collection<TaskProgress> selected) {
         int limit = spec(t).maxUnavailable();
--- a/core/src/main/java/io/pollenreach/internal/batch/VictimSelection.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/VictimSelection.java
@@ -33,7 +33,7 @@
     private final Reclaim reclaim;
     private final StepSpec spec;
     private final Resources need;
-    private final int priority;
+    private final Reclaim.Target target;
     private final List<WorkerAllocations> group;
     private final TaskId anyTask;
     private final Set<TaskProgress> victims = new LinkedHashSet<>();
@@ -42,11 +42,12 @@
     private final Map<WorkerAllocations, Optional<Slot>> slots = new HashMap<>();
     private double lostCoreMs;
 
-    VictimSelection(Reclaim reclaim, StepSpec spec, int priority, List<WorkerAllocations> group, TaskId anyTask) {
+    VictimSelection(
+            Reclaim reclaim, StepSpec spec, Reclaim.Target target, List<WorkerAllocations> group, TaskId anyTask) {
         this.reclaim = reclaim;
         this.spec = spec;
         need = spec.occupied();
-        this.priority = priority;
+        this.target = target;
         this.group = group;
         this.anyTask = anyTask;
         group.forEach(w -> available.put(w, reclaim.available(w)));
@@ -84,7 +85,7 @@
         for (TaskProgress victim : slot.victims()) {
             boolean gang = reclaim.spec(victim).gang();
             stop(gang ? reclaim.step(victim) : List.of(victim));
-            if (gang || reclaim.spec(victim).maxUnavailable() > 0) {
+            if (gang || reclaim.spec(victim).maxUnavailable() > 0 || target.scope() == VictimScope.BORROWED) {
                 // Other slots may cost less now, or may no longer be allowed.
                 slots.clear();
             }
@@ -109,7 +110,7 @@
         }
         Resources room = available.get(w);
         List<TaskProgress> selected = new ArrayList<>();
-        for (TaskProgress t : reclaim.preemptible(w, priority)) {
+        for (TaskProgress t : reclaim.preemptible(w, target)) {
             if (need.fitsIn(room)) {
                 break;
             }
@@ -133,12 +134,14 @@
     }
 
     private boolean isInterruptible(TaskProgress t, List<TaskProgress> selected) {
-        if (reclaim.spec(t).maxUnavailable() == 0) {
+        boolean limited = reclaim.spec(t).maxUnavailable() > 0;
+        boolean lent = target.scope() == VictimScope.BORROWED;
+        if (!limited && !lent) {
             return true;
         }
         Set<TaskProgress> all = new LinkedHashSet<>(victims);
         all.addAll(selected);
-        return reclaim.isInterruptible(t, all);
+        return reclaim.isInterruptible(t, all) && (!lent || reclaim.isWithinBorrowed(t, all));
     }
 
     private double lostBy(List<TaskProgress> selected) {
