--- a/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/SchedulerState.java
@@ -3,10 +3,8 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The in-memory state of the leading scheduler: jobs, workers, and the changes that are not stored yet.
@@ -23,8 +21,7 @@
     /** The ids of cancelled jobs, and when the scheduler learned of it, by its monotonic clock. */
     private final Map<String, Long> cancelled = new HashMap<>();
 
-    private final Set<String> changedJobs = new LinkedHashSet<>();
-    private final Set<String> changedWorkers = new LinkedHashSet<>();
+    private final UnstoredChanges unstored = new UnstoredChanges(jobs, workers);
     private final AdviceCache advice = new AdviceCache();
     private final RunReleases releases;
     private final WorkerRecovery recovery;
@@ -92,8 +89,9 @@
         if (jobs.get(job.id()) != null || jobs.wasForgotten(job.id(), sequence)) {
             return;
         }
-        add(new JobProgress(job, sequence, acceptedMs), nowMs);
-        changedJobs.add(job.id());
+        JobProgress progress = new JobProgress(job, sequence, acceptedMs);
+        add(progress, nowMs);
+        unstored.add(progress);
         placementChanged = true;
     }
 
@@ -141,7 +139,7 @@
         placementChanged = true;
         job.end(endPhase, nowMs);
         advice.removeJob(job.job().id());
-        changedJobs.add(job.job().id());
+        unstored.add(job);
         job.tasks().filter(t -> t.state() == TaskProgress.State.PLACED).forEach(t -> stop(t, nowMs));
         log.logDecision(
                 "job-ended", "job", job.job().id(), "phase", endPhase, "sinceAcceptedMs", nowMs - job.acceptedMs());
@@ -151,7 +149,7 @@
         observations.recordCutOff(t, nowMs);
         WorkerAllocations w = workers.get(t.worker());
         if (w != null && w.stop(t.taskRun(), nowMs)) {
-            changedWorkers.add(w.name());
+            unstored.add(w);
         }
     }
 
@@ -170,7 +168,7 @@
         if (w == null) {
             w = new WorkerAllocations(report, version, nowMs);
             workers.add(w);
-            changedWorkers.add(w.name());
+            unstored.add(w);
             log.logDecision(
                     "worker-joined", "worker", w.name(), "incarnation", report.incarnation(), "pool", report.pool());
         }
@@ -252,12 +250,12 @@
                         a.run().task(),
                         "run",
                         a.run().run());
-                changedWorkers.add(w.name());
+                unstored.add(w);
             }
         }
         if (w.removeFinishedStops()) {
             placementChanged = true;
-            changedWorkers.add(w.name());
+            unstored.add(w);
         }
     }
 
@@ -288,12 +286,12 @@
     }
 
     void recordChange(JobProgress job) {
-        changedJobs.add(job.job().id());
+        unstored.add(job);
     }
 
     void recordChange(WorkerAllocations worker) {
         placementChanged = true;
-        changedWorkers.add(worker.name());
+        unstored.add(worker);
     }
 
     /** Returns the workers. */
@@ -392,7 +390,7 @@
                     .orElse("");
             WorkerOrders.OrderedRun order = orderOf(job, t, ticket);
             a.worker().order(order, spec.occupied());
-            changedWorkers.add(a.worker().name());
+            unstored.add(a.worker());
             log.logDecision(
                     "task-placed",
                     "task",
@@ -414,7 +412,7 @@
                     "slackMs",
                     unit.slackMs(nowMs));
         }
-        changedJobs.add(job.job().id());
+        unstored.add(job);
     }
 
     WorkerOrders.OrderedRun orderOf(JobProgress job, TaskProgress t, String ticket) {
@@ -431,7 +429,7 @@
         log.logDecision("task-preempted", "task", t.id(), "run", t.run(), "worker", t.worker(), "by", by);
         stop(t, nowMs);
         requeueWithGang(job, t, nowMs);
-        changedJobs.add(job.job().id());
+        unstored.add(job);
     }
 
     Resources occupied(TaskId task) {
@@ -447,18 +445,7 @@
 
     /** Returns the changes that must be stored before agents may act on them. */
     public StateChanges changes() {
-        Map<String, Map<String, ProgressRow>> rows = new LinkedHashMap<>();
-        Set<String> outdated = new LinkedHashSet<>();
-        for (String id : changedJobs) {
-            rows.put(id, jobs.get(id).changedRows());
-            outdated.addAll(jobs.get(id).outdatedKeys());
-        }
-        Map<String, WorkerOrders> orders = new LinkedHashMap<>();
-        changedWorkers.stream()
-                .map(workers::get)
-                .filter(WorkerAllocations::ordersKnown)
-                .forEach(w -> orders.put(w.name(), w.toOrders()));
-        return new StateChanges(rows, outdated, orders);
+        return unstored.toRows();
     }
 
     /**
@@ -467,13 +454,7 @@
      * @param version the version of the earliest of their rows; no row of an earlier change has it or a newer one
      */
     public void committed(long version) {
-        changedJobs.forEach(id -> jobs.get(id).committed());
-        changedWorkers.stream()
-                .map(workers::get)
-                .filter(WorkerAllocations::ordersKnown)
-                .forEach(w -> w.committed(version));
-        changedJobs.clear();
-        changedWorkers.clear();
+        unstored.committed(version);
     }
 
     /**
@@ -489,7 +470,7 @@
                 expired.put(id, List.of());
             }
         });
-        jobs.endedBefore(nowMs - keepMs, id -> !changedJobs.contains(id))
+        jobs.endedBefore(nowMs - keepMs, id -> !unstored.containsJob(id))
                 .forEach(j -> expired.put(j.job().id(), j.rowKeys()));
         return expired;
     }
