Send a worker no more orders than it answers

Cause: up to 400 runs were handed to an agent at once, which sent all starts at once through 16 connections, with a time-out that counted their wait. Most timed out in the agent's own queue and were sent again after 150 ms, and the poll that extends the lease waited behind them and timed out too.

Change: an agent has as many orders in flight as its worker answers in time, at most 12 (AdaptiveLimit), and three calls that pace fillers; stops go first. An order that failed is sent again after 150 ms, doubling.

--- a/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/FreeCapacity.java
@@ -151,7 +151,8 @@
 
     private int slots(WorkerAllocations w, Resources need, StepSpec spec, TaskId any) {
         Resources available = free.get(w);
-        long n = w.freeRuns();
+        // A gang makes progress only once all its members have started.
+        long n = spec.gang() ? w.freeRuns() : w.freeStarts();
         n = Math.min(n, quotient(available.milliCpu(), need.milliCpu()));
         n = Math.min(n, quotient(available.memoryMb(), need.memoryMb()));
         n = Math.min(n, quotient(available.accelerators(), need.accelerators()));
--- a/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
+++ b/core/src/main/java/io/pollenreach/internal/batch/WorkerAllocations.java
@@ -25,6 +25,12 @@
      */
     static final int MAX_RUNS = 400;
 
+    /**
+     * Runs that were handed to a worker and that it has not shown at work, but for gangs. The orders to start them are sent a
+     * few at a time, so more would only wait there.
+     */
+    static final int MAX_STARTING = 64;
+
     /** Bytes of payload that the orders of one worker carry; the payload of further runs is read from their job's row. */
     private static final int MAX_INLINE_PAYLOAD_BYTES = 16_000;
 
@@ -70,6 +76,8 @@
     private final Map<TaskRun, Stop> stops = new LinkedHashMap<>();
     /** The runs whose order is not known to be stored. */
     private final Set<TaskRun> uncommittedRuns = new HashSet<>();
+    /** The runs that the worker has not shown at work. */
+    private final Set<TaskRun> starting = new HashSet<>();
     /** The characters of tickets and checkpoints of all runs. */
     private int tokenChars;
 
@@ -150,6 +158,11 @@
         reportVersion = version;
         reportedMs = nowMs;
         reportReadable = true;
+        noteConfirmed();
+    }
+
+    private void noteConfirmed() {
+        report.active().stream().filter(RunningTask::isConfirmed).forEach(a -> starting.remove(a.run()));
     }
 
     /** Records that a report was written that cannot be read; the worker may have a new lease by it. */
@@ -183,12 +196,14 @@
         orders.runs().forEach(r -> order(r, needs.apply(r.run().task())));
         uncommittedRuns.clear();
         orders.stops().forEach(r -> stops.put(r, Stop.restored(needs.apply(r.task()), nowMs, version)));
+        noteConfirmed();
     }
 
     /** Clears the orders for a new incarnation of the worker. */
     void startIncarnation() {
         runs.clear();
         uncommittedRuns.clear();
+        starting.clear();
         tokenChars = 0;
         stops.clear();
         lastEndNumber = 0;
@@ -212,6 +227,11 @@
         return tokenChars > MAX_TOKEN_CHARS ? 0 : Math.max(0, MAX_RUNS - runs.size() - stops.size());
     }
 
+    /** Returns how many more runs the worker may be handed now. */
+    int freeStarts() {
+        return Math.max(0, Math.min(freeRuns(), MAX_STARTING - starting.size()));
+    }
+
     Resources free() {
         return report.capacity().minus(held());
     }
@@ -268,6 +288,7 @@
         Allocation allocation = new Allocation(order, held);
         runs.put(order.run(), allocation);
         uncommittedRuns.add(order.run());
+        starting.add(order.run());
         tokenChars += allocation.tokenChars();
     }
 
@@ -276,6 +297,7 @@
         Optional<Allocation> removed = Optional.ofNullable(runs.remove(run));
         removed.ifPresent(a -> tokenChars -= a.tokenChars());
         uncommittedRuns.remove(run);
+        starting.remove(run);
         return removed;
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/BatchAgent.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.pollenreach.Clock;
 import io.pollenreach.PollenreachException;
@@ -341,9 +342,9 @@
         }
         reporter.reportWhenDue(inc);
         orders.send(inc);
-        inc.fillers.adjust(inc.runs.atWork(), view.loads(), inc.polledMs, (run, percent, failed) -> {
+        inc.fillers.adjust(inc.runs.atWork(), view.loads(), inc.polledMs, (run, percent, answered) -> {
             runner.pace(inc.authority(), run, percent)
-                    .whenCompleteAsync((v, e) -> guarded(() -> paced(run, percent, failed, e)), thread);
+                    .whenCompleteAsync((v, e) -> guarded(() -> paced(run, percent, answered, e)), thread);
         });
         if (inc.runs.newestEnd() > inc.endsStored) {
             // The worker answers at once while it has ends to list, until the store has them.
@@ -353,11 +354,11 @@
         }
     }
 
-    private static void paced(TaskRun run, int percent, Runnable failed, Throwable t) {
+    private static void paced(TaskRun run, int percent, Consumer<Boolean> answered, Throwable t) {
         if (t != null) {
             FillerPacer.noteFailure(run, percent, PollenreachException.of(t));
-            failed.run();
         }
+        answered.accept(t == null);
     }
 
     private void pollFailed(Incarnation inc, PollenreachException e) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/FillerPacer.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/FillerPacer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.pollenreach.PollenreachException;
 import io.pollenreach.daemon.internal.log.Events;
@@ -14,14 +15,14 @@
 /**
  * Slows the fillers of one incarnation of a worker while they disturb the tasks that serve beside them.
  *
- * <p>Invariant: a filler whose pace is not known to the worker is told it again with the next poll, and every filler each
- * second. Not safe for use by many threads: the agent's thread owns it.
+ * <p>Invariants: a filler whose pace is not known to the worker is told it again with the next poll, and every filler each
+ * second; few calls are in flight at a time, whatever the number of fillers. Not safe for use by many threads: the agent's thread owns it.
  */
 final class FillerPacer {
     /** What a pacer needs of its agent. */
     interface Host {
-        /** Tells the worker the pace of a run. */
-        void pace(TaskRun run, int percent, Runnable failed);
+        /** Tells the worker the pace of a run; {@code answered} takes whether it did take it, on the agent's thread. */
+        void pace(TaskRun run, int percent, Consumer<Boolean> answered);
     }
 
     /**
@@ -32,8 +33,13 @@
 
     private static final Events EVENTS = Events.of(FillerPacer.class);
 
+    /** Calls in flight at most; they must leave connections to the orders and the poll. */
+    private static final int MAX_IN_FLIGHT = 3;
+
     private final FillerThrottle pace;
     private final Map<TaskRun, Told> told = new HashMap<>();
+    private List<TaskRun> fillers = List.of();
+    private int inFlight;
 
     /** The pace that a run was told last, and when. Immutable. */
     private record Told(int percent, long toldMs) {
@@ -48,8 +54,7 @@
 
     /** Takes what the worker says of the load of its runs, and tells it what follows. */
     void adjust(List<OrderedRun> runs, Map<TaskRun, Integer> loads, long nowMs, Host host) {
-        List<TaskRun> fillers =
-                runs.stream().filter(OrderedRun::filler).map(OrderedRun::run).toList();
+        fillers = runs.stream().filter(OrderedRun::filler).map(OrderedRun::run).toList();
         told.keySet().retainAll(Set.copyOf(fillers));
         if (fillers.isEmpty()) {
             return;
@@ -69,15 +74,33 @@
                     "fillers",
                     fillers.size());
         }
+        tell(nowMs, host);
+    }
+
+    /** Tells fillers their pace that were not told it lately, and goes on with others as the worker answers. */
+    private void tell(long nowMs, Host host) {
         for (TaskRun run : fillers) {
+            if (inFlight == MAX_IN_FLIGHT) {
+                return;
+            }
             Told known = told.get(run);
             if (known == null || !known.isCurrent(pace.percent(), nowMs)) {
                 told.put(run, new Told(pace.percent(), nowMs));
-                host.pace(run, pace.percent(), () -> told.remove(run));
+                inFlight++;
+                host.pace(run, pace.percent(), taken -> answered(run, taken, nowMs, host));
             }
         }
     }
 
+    private void answered(TaskRun run, boolean taken, long nowMs, Host host) {
+        inFlight--;
+        if (taken) {
+            tell(nowMs, host);
+        } else {
+            told.remove(run);
+        }
+    }
+
     private static double worst(List<OrderedRun> runs, Map<TaskRun, Integer> loads) {
         return runs.stream()
                 .filter(r -> r.targetLatencyMs() > 0)
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/Incarnation.java
@@ -10,6 +10,7 @@
 import io.pollenreach.internal.batch.RefusedCalls;
 import io.pollenreach.internal.batch.RunEnd;
 import io.pollenreach.internal.batch.WorkerReport;
+import io.pollenreach.internal.routing.AdaptiveLimit;
 
 /**
  * One registration of one worker process; what belongs to an older one is dropped.
@@ -17,6 +18,14 @@
  * <p>Not safe for use by many threads: the agent's thread owns it.
  */
 final class Incarnation {
+    /** Orders in flight to one worker at most: fewer than the agent has connections, so that its poll finds a free one. */
+    static final int MAX_ORDERS = 12;
+
+    private static final int INITIAL_ORDERS = 8;
+
+    /** How long a worker that is not overloaded takes for an order, in milliseconds. */
+    private static final double EXPECTED_ORDER_MS = 25;
+
     private static final Events EVENTS = Events.of(Incarnation.class);
 
     final WorkerInfo worker;
@@ -57,6 +66,9 @@
 
     final FillerPacer fillers;
 
+    private int ordersInFlight;
+    private final AdaptiveLimit orderLimit = new AdaptiveLimit(1, INITIAL_ORDERS, MAX_ORDERS);
+
     private final GrantedLease lease;
 
     Incarnation(WorkerInfo worker, long token, WorkerReport claim, GrantedLease lease, long nowMs) {
@@ -75,6 +87,27 @@
         return new TaskRunner.Authority(worker.instance(), worker.bornMs(), token);
     }
 
+    /** Returns how many more orders may be begun now. */
+    int roomForOrders() {
+        return Math.max(0, orderLimit.limit() - ordersInFlight);
+    }
+
+    /** Records that an order is about to be sent, once what it needs has been read. */
+    void beginOrder() {
+        ordersInFlight++;
+    }
+
+    /** Records that an order was answered, has failed, or is not sent after all. */
+    void endOrder() {
+        ordersInFlight--;
+    }
+
+    /** Records that an order was answered, or failed, after some time in milliseconds. */
+    void recordAnswer(long tookMs, Throwable failure) {
+        boolean timedOut = failure != null && PollenreachException.of(failure).code() == ResultCode.PEER_TIMEOUT;
+        orderLimit.record(ordersInFlight, tookMs, EXPECTED_ORDER_MS, timedOut);
+    }
+
     /** Records that a call failed; none of those that come after reaches this process once another one has answered. */
     void noteFailure(PollenreachException e) {
         if (e.code() == ResultCode.NOT_FOUND && !replaced) {
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/LocalRuns.java
@@ -46,6 +46,7 @@
         /** Whether the scheduler still orders the run and must hear that it never will run. */
         private final boolean abandoned;
 
+        private int attempts;
         private boolean sending;
         private boolean confirmed;
         private long confirmedMs;
@@ -56,6 +57,11 @@
         }
     }
 
+    /** Pause before an order that failed is sent again, in milliseconds; doubles with each further failure. */
+    private static final long RETRY_MS = 150;
+
+    private static final int MAX_DOUBLINGS = 4;
+
     /** Polls without a run, after its start was confirmed, that show it to be gone. */
     private static final int POLLS_TO_MISS = 2;
 
@@ -176,11 +182,11 @@
         return true;
     }
 
-    /** Returns the runs that an order to start should be sent for now. */
-    List<WorkerOrders.OrderedRun> toStart(long nowMs) {
+    /** Returns the runs that an order to start should be sent for now, at most so many. */
+    List<WorkerOrders.OrderedRun> toStart(long nowMs, int max) {
         List<WorkerOrders.OrderedRun> due = new ArrayList<>();
         for (Run r : ordered.values()) {
-            if (r.status == Status.NEW && r.retryMs <= nowMs) {
+            if (due.size() < max && r.status == Status.NEW && r.retryMs <= nowMs) {
                 r.status = Status.STARTING;
                 r.attempts++;
                 due.add(r.order);
@@ -189,12 +195,13 @@
         return due;
     }
 
-    /** Returns the runs that an order to stop should be sent for now. */
-    List<TaskRun> toStop(long nowMs) {
+    /** Returns the runs that an order to stop should be sent for now, at most so many. */
+    List<TaskRun> toStop(long nowMs, int max) {
         List<TaskRun> due = new ArrayList<>();
         stopping.forEach((run, s) -> {
-            if (!s.confirmed && !s.sending && s.retryMs <= nowMs) {
+            if (due.size() < max && !s.confirmed && !s.sending && s.retryMs <= nowMs) {
                 s.sending = true;
+                s.attempts++;
                 due.add(run);
             }
         });
@@ -209,14 +216,23 @@
         }
     }
 
-    void startFailed(TaskRun run, long retryMs) {
+    /** Records that an order to start failed, and puts the next one off, for longer with each failure. */
+    void startFailed(TaskRun run, long nowMs) {
         Run r = ordered.get(run);
         if (r != null) {
-            r.status = Status.NEW;
-            r.retryMs = retryMs;
+            putOff(r, nowMs + pauseMs(r.attempts));
         }
     }
 
+    private static void putOff(Run r, long untilMs) {
+        r.status = Status.NEW;
+        r.retryMs = untilMs;
+    }
+
+    private static long pauseMs(int attempts) {
+        return RETRY_MS << Math.max(0, Math.min(attempts - 1, MAX_DOUBLINGS));
+    }
+
     /** Tells whether a run is still to be started, by an order that was taken as due and is not answered. */
     boolean isStarting(TaskRun run) {
         Run r = ordered.get(run);
@@ -228,7 +244,7 @@
         Run r = ordered.get(run);
         if (r != null) {
             r.attempts--;
-            startFailed(run, retryMs);
+            putOff(r, retryMs);
         }
     }
 
@@ -258,11 +274,12 @@
         }
     }
 
-    void stopFailed(TaskRun run, long retryMs) {
+    /** Records that an order to stop failed, and puts the next one off, for longer with each failure. */
+    void stopFailed(TaskRun run, long nowMs) {
         Stopping s = stopping.get(run);
         if (s != null) {
             s.sending = false;
-            s.retryMs = retryMs;
+            s.retryMs = nowMs + pauseMs(s.attempts);
         }
     }
 
--- a/daemon/src/main/java/io/pollenreach/daemon/internal/work/OrderSender.java
+++ b/daemon/src/main/java/io/pollenreach/daemon/internal/work/OrderSender.java
@@ -15,7 +15,8 @@
  *
  * <p>Invariants: nothing is started on a draining worker, under a lease that is about to end, once another process
  * answered in the worker's place, while nothing listens there, or without a recent reading that the worker's availability
- * zone is not under evacuation. For use by the agent's thread.
+ * zone is not under evacuation; no more orders are in flight than the worker answers in time, so that the poll which extends
+ * its lease never waits behind them. For use by the agent's thread.
  */
 final class OrderSender {
     /** The shortest lease with which an order to start is worth sending, in milliseconds. */
@@ -46,19 +47,27 @@
         this.context = context;
     }
 
-    /** Sends the orders that are due. */
+    /** Sends the orders that are due, as many as the worker may have at a time. */
     void send(Incarnation inc) {
+        if (!context.isCurrent(inc)) {
+            return;
+        }
         long nowMs = clock.nowMs();
-        for (TaskRun run : inc.runs.toStop(nowMs)) {
-            runner.stop(inc.authority(), run).whenComplete((v, t) -> context.execute(() -> stopAnswered(inc, run, t)));
+        for (TaskRun run : inc.runs.toStop(nowMs, inc.roomForOrders())) {
+            inc.beginOrder();
+            runner.stop(inc.authority(), run)
+                    .whenComplete((v, t) -> context.execute(() -> stopAnswered(inc, run, nowMs, t)));
         }
         if (!mayStart(inc, nowMs)) {
             return;
         }
-        for (WorkerOrders.OrderedRun order : inc.runs.toStart(nowMs)) {
+        for (WorkerOrders.OrderedRun order : inc.runs.toStart(nowMs, inc.roomForOrders())) {
             if (context.newestFacts().draining()) {
                 abandon(inc, order.run());
-            } else if (order.payloadInJob()) {
+                continue;
+            }
+            inc.beginOrder();
+            if (order.payloadInJob()) {
                 payloads.read(order).whenComplete((o, t) -> context.execute(() -> payloadRead(inc, order.run(), o, t)));
             } else {
                 start(inc, order);
@@ -78,11 +87,12 @@
     }
 
     private void payloadRead(Incarnation inc, TaskRun run, WorkerOrders.OrderedRun order, Throwable t) {
-        if (!isDue(inc, run)) {
+        if (isDue(inc, run) && t == null) {
+            start(inc, order);
             return;
         }
-        if (t == null) {
-            start(inc, order);
+        inc.endOrder();
+        if (!isDue(inc, run)) {
             return;
         }
         PollenreachException e = PollenreachException.of(t);
@@ -90,7 +100,7 @@
         if (e.code() == ResultCode.NOT_FOUND) {
             abandon(inc, run);
         } else {
-            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+            inc.runs.startFailed(run, clock.nowMs());
         }
     }
 
@@ -110,35 +120,55 @@
 
     private void zoneRead(
             Incarnation inc, WorkerOrders.OrderedRun order, String zone, EvacuationGuard.Reading reading, Throwable t) {
-        if (!isDue(inc, order.run())) {
-            return;
+        if (isDue(inc, order.run()) && mayStartIn(inc, order.run(), zone, reading, t)) {
+            sendStart(inc, order);
+        } else {
+            inc.endOrder();
         }
+    }
+
+    /** Tells whether a run may start by a reading of its zone; otherwise gives it up or puts it off. */
+    private boolean mayStartIn(
+            Incarnation inc, TaskRun run, String zone, EvacuationGuard.Reading reading, Throwable t) {
         EvacuationGuard evacuations = guard.orElseThrow();
         if (t == null && reading.evacuated()) {
-            evacuations.noteRefused(order.run(), zone);
-            abandon(inc, order.run());
+            evacuations.noteRefused(run, zone);
+            abandon(inc, run);
             reporter.reportWhenDue(inc);
-        } else if (t != null || !evacuations.isRecent(reading)) {
+            return false;
+        }
+        if (t != null || !evacuations.isRecent(reading)) {
             PollenreachException why = t == null ? evacuations.tooOld(reading) : PollenreachException.of(t);
-            evacuations.noteHeld(order.run(), zone, why);
-            inc.runs.startHeld(order.run(), clock.nowMs() + RETRY_MS);
-        } else if (!mayStart(inc, clock.nowMs()) || context.newestFacts().draining()) {
-            inc.runs.startHeld(order.run(), clock.nowMs());
-        } else {
-            evacuations.noteAllowed();
-            sendStart(inc, order);
+            evacuations.noteHeld(run, zone, why);
+            inc.runs.startHeld(run, clock.nowMs() + RETRY_MS);
+            return false;
         }
+        if (!mayStart(inc, clock.nowMs()) || context.newestFacts().draining()) {
+            inc.runs.startHeld(run, clock.nowMs());
+            return false;
+        }
+        evacuations.noteAllowed();
+        return true;
     }
 
     private void sendStart(Incarnation inc, WorkerOrders.OrderedRun order) {
+        long sentMs = clock.nowMs();
         runner.start(inc.authority(), order, inc.leaseUntilMs)
-                .whenComplete((o, t) -> context.execute(() -> startAnswered(inc, order.run(), o, t)));
+                .whenComplete((o, t) -> context.execute(() -> startAnswered(inc, order.run(), sentMs, o, t)));
     }
 
-    private void startAnswered(Incarnation inc, TaskRun run, TaskRunner.StartOutcome outcome, Throwable t) {
+    private void startAnswered(
+            Incarnation inc, TaskRun run, long sentMs, TaskRunner.StartOutcome outcome, Throwable t) {
         if (!context.isCurrent(inc)) {
             return;
         }
+        inc.recordAnswer(clock.nowMs() - sentMs, t);
+        inc.endOrder();
+        recordStart(inc, run, outcome, t);
+        send(inc);
+    }
+
+    private void recordStart(Incarnation inc, TaskRun run, TaskRunner.StartOutcome outcome, Throwable t) {
         if (t != null) {
             PollenreachException e = PollenreachException.of(t);
             EVENTS.failure("start-unanswered", "run", run, e);
@@ -147,7 +177,7 @@
                 return;
             }
             inc.noteFailure(e);
-            inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+            inc.runs.startFailed(run, clock.nowMs());
             return;
         }
         EVENTS.info("start-answered", "task", run.task(), "run", run.run(), "outcome", outcome);
@@ -155,7 +185,7 @@
                 // An end that the worker has yet to list tells how a run that is over went.
             case STARTED, OVER -> inc.runs.started(run);
             case LEASE_OVER -> {
-                inc.runs.startFailed(run, clock.nowMs() + RETRY_MS);
+                inc.runs.startFailed(run, clock.nowMs());
                 inc.reportSoon = true;
             }
             default -> abandon(inc, run);
@@ -163,10 +193,17 @@
         reporter.reportWhenDue(inc);
     }
 
-    private void stopAnswered(Incarnation inc, TaskRun run, Throwable t) {
+    private void stopAnswered(Incarnation inc, TaskRun run, long sentMs, Throwable t) {
         if (!context.isCurrent(inc)) {
             return;
         }
+        inc.recordAnswer(clock.nowMs() - sentMs, t);
+        inc.endOrder();
+        recordStop(inc, run, t);
+        send(inc);
+    }
+
+    private void recordStop(Incarnation inc, TaskRun run, Throwable t) {
         if (t == null) {
             EVENTS.info("stop-answered", "task", run.task(), "run", run.run());
             inc.runs.stopped(run, clock.nowMs());
@@ -179,6 +216,6 @@
             return;
         }
         inc.noteFailure(e);
-        inc.runs.stopFailed(run, clock.nowMs() + RETRY_MS);
+        inc.runs.stopFailed(run, clock.nowMs());
     }
 }
--- a/daemon/src/test/java/io/pollenreach/daemon/internal/work/BatchAgentTest.java
+++ b/daemon/src/test/java/io/pollenreach/daemon/internal/work/BatchAgentTest.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import io.pollenreach.Clock;
@@ -24,6 +25,10 @@
 class BatchAgentTest {
     private static final long LEASE_MS = 6_000;
     private static final long POLL_MS = 20;
+
+    /** Connections that an agent may have to its worker on the platform; one is for the poll. */
+    private static final int CONNECTIONS = 16;
+
     private static final TaskRun FIRST = new TaskRun(TaskId.of("a.0.0.0"), 1);
     private static final TaskRun SECOND = new TaskRun(TaskId.of("a.0.0.1"), 1);
 
@@ -130,4 +135,32 @@
         }
         assertThat(storedReport().orElseThrow().outlook().leavesInMs()).isBetween(30_000L, 60_000L);
     }
+
+    // review/12: hundreds of orders at once timed out in the agent's own queue, and the poll that extends the lease
+    // behind
+    // them
+    @Test
+    @Timeout(30)
+    void hasNoMoreOrdersInFlightThanItsWorkerAnswers() throws Exception {
+        worker.delayOrders(5);
+        agent.start();
+        agent.heartbeat(heartbeat(1, "pool", false));
+        while (storedReport().filter(WorkerReport::takesTasks).isEmpty()) {
+            Thread.sleep(POLL_MS);
+        }
+        TaskRun[] many = IntStream.range(0, 400)
+                .mapToObj(i -> new TaskRun(TaskId.of("a.0.0." + i), 1))
+                .toArray(TaskRun[]::new);
+        putOrders(orders(many));
+        while (worker.started.size() < many.length) {
+            Thread.sleep(POLL_MS);
+        }
+        putOrders(orders());
+        while (worker.stopped.size() < many.length) {
+            Thread.sleep(POLL_MS);
+        }
+
+        assertThat(worker.mostOrdersInFlight()).isLessThan(CONNECTIONS);
+        assertThat(worker.started).hasSize(many.length);
+    }
 }
